--- a/src/bin/claydrum-simhost/codec.rs
+++ b/src/bin/clayshore-simhost/codec.rs
@@ -1,6 +1,6 @@
 //! The words of the wire. Reads fields, settings, events and list entries; writes actions.
 
-use claydrum::api::*;
+use clayshore::api::*;
 use std::collections::HashMap;
 use std::fmt::Write;
 use std::str::FromStr;
--- a/src/bin/claydrum-simhost/main.rs
+++ b/src/bin/clayshore-simhost/main.rs
@@ -10,7 +10,7 @@
     match serve(&mut io::stdin().lock(), &mut BufWriter::with_capacity(1 << 16, io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("claydrum-simhost: {message}");
+            eprintln!("clayshore-simhost: {message}");
             ExitCode::FAILURE
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A root in miniature: hands events to the module and books what it asks for.
 #![allow(dead_code)] // each test file uses its own share of this
 
-use claydrum::Aggregator;
-use claydrum::api::*;
+use clayshore::Aggregator;
+use clayshore::api::*;
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use claydrum::api::*;
+use clayshore::api::*;
 use common::*;
 
 fn refused(root: &Root, id: RequestId) -> bool {
