--- a/src/bin/clayshore-simhost/codec.rs
+++ b/src/bin/clayshore-simhost/codec.rs
@@ -1,7 +1,7 @@
 //! The words of the wire. Reads fields, settings, events and list entries; writes actions.
 
 use clayshore::api::*;
-use std::collections::HashMap;
+use clayshore::program::settings::Pairs;
 use std::fmt::Write;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -207,148 +207,11 @@
     })
 }
 
-/// Settings by path. An absent one has the value that [`Settings`] states.
-struct Pairs<'a>(HashMap<&'a str, &'a str>);
-
-impl<'a> Pairs<'a> {
-    fn text(&self, path: &str) -> Option<&'a str> {
-        self.0.get(path).copied().filter(|value| !value.is_empty() && *value != "-")
-    }
-    fn number(&self, path: &str) -> Result<Option<f64>, String> {
-        let Some(value) = self.text(path) else { return Ok(None) };
-        match value.parse::<f64>() {
-            Ok(number) if number.is_finite() => Ok(Some(number)),
-            _ => Err(format!("start: env: {path}: bad number {value:?}")),
-        }
-    }
-    fn count(&self, path: &str) -> Result<u32, String> {
-        Ok(self.number(path)?.unwrap_or(0.0).max(0.0) as u32)
-    }
-    fn span(&self, path: &str) -> Result<Option<Duration>, String> {
-        Ok(self.number(path)?.map(|span| Duration::from_nanos(span.max(0.0) as u64)))
-    }
-    fn flag(&self, path: &str) -> Result<bool, String> {
-        match self.text(path) {
-            None | Some("false" | "0") => Ok(false),
-            Some("true" | "1") => Ok(true),
-            Some(value) => Err(format!("start: env: {path}: bad value {value:?}")),
-        }
-    }
-    /// A value for each class: one for all, a comma-joined list, or numbered paths.
-    fn by_class(&self, path: &str, class: usize) -> Result<Option<f64>, String> {
-        let numbered = format!("{path}.{class}");
-        if self.text(&numbered).is_some() {
-            return self.number(&numbered);
-        }
-        let Some(list) = self.text(path) else { return Ok(None) };
-        let mut items = list.split(',');
-        let item = items.nth(class).or_else(|| list.split(',').next_back());
-        item.map(|item| item.parse().map_err(|_| format!("start: env: {path}: bad number {item:?}")))
-            .transpose()
-    }
-}
-
 /// The `start` message, after its name.
 pub fn start(fields: &mut Fields<'_>) -> Result<Settings, String> {
     let seed: i128 = fields.must("entropy")?;
-    let mut map = HashMap::new();
-    for pair in fields.text().split(' ').filter(|pair| !pair.is_empty() && *pair != "-") {
-        let Some((path, value)) = pair.split_once('=') else {
-            return Err(format!("start: env: expected path=value, got {pair:?}"));
-        };
-        map.insert(path, value);
-    }
-    let env = Pairs(map);
-    let mut classes = Vec::new();
-    for at in 0..env.count("categories.count")? as usize {
-        let path = |name: &str| format!("categories.{at}.{name}");
-        let deadline = env.span(&path("deadline"))?.unwrap_or_default();
-        let whole_at = env.by_class("domain.whole-at", at)?.unwrap_or(1.0);
-        classes.push(Class {
-            aim: env.span(&path("promise"))?.unwrap_or(deadline),
-            aim_stretch: env.number(&path("aim-stretch"))?.unwrap_or(0.0),
-            deadline,
-            effect: match env.text(&path("semantics")) {
-                Some("repeatable") => Effect::Repeatable,
-                Some("by_key") => Effect::ByKey,
-                Some("once") | None => Effect::Once,
-                Some(other) => {
-                    return Err(format!("start: env: {}: unknown value {other:?}", path("semantics")));
-                }
-            },
-            window: env.span(&path("window"))?.unwrap_or_default(),
-            worth: env.number(&path("worth"))?.unwrap_or(1.0),
-            late_worth: env.number(&path("late-worth"))?.unwrap_or(0.0),
-            min_share: env.by_class("domain.min-share", at)?.unwrap_or(whole_at),
-            whole_at,
-            short_worth: env.by_class("domain.short-worth", at)?.unwrap_or(0.0),
-            follow_up: env.by_class("domain.follow-up", at)?.unwrap_or(0.0).max(0.0) as u32,
-        });
-    }
-    let mut tenants = Vec::new();
-    for at in 0..env.count("tenants.count")? {
-        tenants.push(Tenant { quota_per_s: env.number(&format!("tenants.{at}.quota-per-s"))? });
-    }
-    let budget = match env.span("rules.look-back")? {
-        Some(window) => Some(Budget {
-            free: env.number("rules.free-resends")?.unwrap_or(0.0),
-            ratio: env.number("rules.further-ratio")?.unwrap_or(0.0),
-            window,
-        }),
-        None => None,
-    };
-    let field = |name: &str| match name {
-        "busy" => Field::Busy,
-        "rif" => Field::InFlight,
-        "q" => Field::Queued,
-        "lat_ms" => Field::LatencyMs,
-        "rate" => Field::Rate,
-        _ => Field::Unknown,
-    };
-    Ok(Settings {
-        seed: seed as u64,
-        roots: env.count("balancers")?.max(1),
-        zone: ZoneId(env.count("az")?),
-        classes,
-        tenants,
-        quantum: env.span("quantum")?.unwrap_or_default(),
-        ask_discovery: env.text("discovery") == Some("on_request"),
-        must_ask_in: env.span("rules.must-ask-in")?.unwrap_or_default(),
-        may_cancel: env.flag("allowed.cancel")?,
-        may_probe: env.flag("allowed.probing")?,
-        second_copies: env.flag("allowed.second-copies")?,
-        most_attempts: env.number("allowed.most-tries")?.map(|most| most.max(1.0) as u32),
-        longest_pause: if env.flag("allowed.retry-after")? {
-            env.span("allowed.max-retry-after")?
-        } else {
-            None
-        },
-        budget,
-        cells: env.count("domain.cells")?,
-        span: env.count("domain.span")?.max(1),
-        shards: env.count("domain.slices")?,
-        per_call: env.count("domain.per-call")?.max(1),
-        call_work: env.span("domain.call")?.unwrap_or_default(),
-        warm_keys: env.flag("domain.warm-keys")?,
-        cross_zone_price: env.number("deductions.cross-zone")?.unwrap_or(0.0),
-        waste_price: env.number("deductions.waste")?.unwrap_or(0.0),
-        probe_price: env.number("deductions.probe")?.unwrap_or(0.0),
-        reports: match env.text("report.source") {
-            Some("piggyback") => Reports::Answers,
-            Some("pull") => Reports::Probes,
-            _ => Reports::Silent,
-        },
-        fields: env
-            .text("report.fields")
-            .map(|list| list.split(',').map(field).collect())
-            .unwrap_or_default(),
-        sized: env.text("weights").is_some_and(|weights| weights != "silent"),
-        cold_share: env.number("rules.cold-share")?.unwrap_or(1.0),
-        warm_up: env.span("rules.warm-up")?.unwrap_or_default(),
-        fall_multiple: env.number("rules.fall-multiple")?.unwrap_or(1.0),
-        fall: env.span("rules.fall")?.unwrap_or_default(),
-        answer_grace: env.span("rules.grace-to-answer")?.unwrap_or_default(),
-    })
+    let contracts = Pairs::from_text(fields.text()).and_then(|pairs| pairs.contracts(seed as u64));
+    contracts.map(|contracts| contracts.settings).map_err(|fault| format!("start: env: {fault}"))
 }
 
 /// Writes one action as a line.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,7 +67,11 @@
 //! ```
 
 pub mod api;
+pub mod program;
+pub mod protocol;
+pub mod routing;
 pub mod rules;
 mod state;
+pub mod transport;
 
 pub use rules::Aggregator;
--- /dev/null
+++ b/src/program/config.rs
@@ -0,0 +1,118 @@
+//! Configuration of the real gatherer: the platform's variables and its JSON file, read and checked here.
+
+use super::settings::{Faulty, Pairs};
+use crate::protocol::discovery;
+use crate::routing::{Contracts, Listing};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// Descriptors that a process may hold where the platform does not say.
+const SOCKETS: u64 = 1024;
+
+/// Why there is no usable configuration.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A variable of the environment.
+    #[error("{0} is not set")]
+    Unset(&'static str),
+    /// A file that cannot be read.
+    #[error("{path}: {error}")]
+    File {
+        /// The file.
+        path: String,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// A file that is not in its form.
+    #[error("{path}: {error}")]
+    Form {
+        /// The file.
+        path: String,
+        /// Why.
+        error: String,
+    },
+    /// A key.
+    #[error("configuration: {0}")]
+    Key(#[from] Faulty),
+}
+
+/// What a gatherer is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: String,
+    /// Descriptors that it may hold.
+    pub sockets: usize,
+    /// The list of workers as it was last held.
+    pub known: Option<Listing>,
+    /// Contracts and limits.
+    pub contracts: Contracts,
+}
+
+impl Config {
+    /// Reads what the platform says: the file that `LB_CONFIG` names, and the other variables over it.
+    pub fn from_platform(variable: impl Fn(&str) -> Option<String>) -> Result<Config, Error> {
+        let path = variable("LB_CONFIG").ok_or(Error::Unset("LB_CONFIG"))?;
+        let bytes = std::fs::read(&path).map_err(|error| Error::File { path: path.clone(), error })?;
+        let json: Value =
+            serde_json::from_slice(&bytes).map_err(|error| Error::Form { path, error: error.to_string() })?;
+        Ok(Config::from_json(&json, variable)?)
+    }
+
+    /// Checks the file's content.
+    pub fn from_json(json: &Value, variable: impl Fn(&str) -> Option<String>) -> Result<Config, Faulty> {
+        let text = |key: &str, name: &str| {
+            let given = variable(name).or_else(|| json.get(key)?.as_str().map(str::to_owned));
+            given.ok_or_else(|| Faulty::new(key, "missing, or no text"))
+        };
+        let listen = text("listen", "LB_LISTEN")?;
+        let listen = listen.parse().map_err(|_| Faulty::new("listen", format!("no address {listen:?}")))?;
+        let seed = match json.get("seed") {
+            None => 0,
+            Some(Value::Number(number)) => number.as_u64().unwrap_or(0),
+            Some(seed) => {
+                let hex = seed.as_str().and_then(|text| u64::from_str_radix(text, 16).ok());
+                hex.ok_or_else(|| Faulty::new("seed", format!("no hexadecimal number {seed}")))?
+            }
+        };
+        let sockets = match json.get("limits").and_then(|limits| limits.get("sockets")) {
+            None => SOCKETS,
+            Some(count) => count
+                .as_u64()
+                .filter(|count| *count >= 64)
+                .ok_or_else(|| Faulty::new("limits.sockets", format!("{count}: 64 at least are needed")))?,
+        };
+        let known = match json.get("known") {
+            None | Some(Value::Null) => None,
+            Some(list) => Some(
+                discovery::listing(list.to_string().as_bytes())
+                    .map_err(|error| Faulty::new("known", error.to_string()))?,
+            ),
+        };
+        let settings = json.get("settings").ok_or_else(|| Faulty::new("settings", "missing"))?;
+        let within = |fault: Faulty| Faulty::new(&format!("settings.{}", fault.path), fault.what);
+        let mut contracts = Pairs::from_json(settings).contracts(seed).map_err(within)?;
+        if contracts.settings.shards == 0 {
+            return Err(Faulty::new("settings.domain.slices", "there must be one at least"));
+        }
+        if contracts.classes.is_empty() {
+            return Err(Faulty::new("settings.categories", "there must be one at least"));
+        }
+        // Neither has a form on the platform's wires: an answer ends a query, and nothing is probed or asked for.
+        contracts.settings.classes.iter_mut().for_each(|class| class.follow_up = 0);
+        contracts.settings.may_probe = false;
+        contracts.settings.ask_discovery = false;
+        Ok(Config {
+            name: text("name", "LB_NAME")?,
+            listen,
+            discovery: text("discovery", "LB_DISCOVERY")?,
+            sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
+            known,
+            contracts,
+        })
+    }
+}
--- /dev/null
+++ b/src/program/mod.rs
@@ -0,0 +1,7 @@
+//! The program round the layers: configuration, start, end, log, and the fronts that join a protocol to the broker.
+
+pub mod config;
+pub mod log;
+pub mod platform;
+pub mod run;
+pub mod settings;
--- /dev/null
+++ b/src/program/platform.rs
@@ -0,0 +1,67 @@
+//! The platform's front: one function sees each request through, from its bytes to its one answer.
+
+use crate::protocol::http::{Malformed, Request, Response};
+use crate::protocol::platform;
+use crate::routing::Broker;
+use crate::transport::listener::{Front, Gate, Phase};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// When to come back to a gatherer that is stopping: by then the front layer sends elsewhere.
+const STOPPING_PAUSE: Duration = Duration::from_millis(100);
+
+/// Serves the platform's protocol.
+pub struct Platform {
+    /// Whom it asks.
+    pub broker: Broker,
+    /// Tells whether the process still takes queries.
+    pub gate: Rc<Gate>,
+}
+
+impl Platform {
+    async fn query(&self, request: &Request) -> Response {
+        let ask = match self.broker.core(|core| platform::ask(request, core.contracts())) {
+            Ok(ask) => ask,
+            Err(invalid) => {
+                self.broker.core(|core| core.counters.malformed += 1);
+                return Response::text(400, invalid.to_string());
+            }
+        };
+        if self.gate.phase() != Phase::Serving {
+            self.broker.core(|core| core.counters.refused_stopping += 1);
+            return platform::refusal(Some(STOPPING_PAUSE));
+        }
+        if self.broker.core(|core| core.has(&ask.label)) {
+            // Guards the parts of the query that has this id: the two could not be told apart at the workers.
+            self.broker.core(|core| core.counters.malformed += 1);
+            return Response::text(409, "X-Call-Id: a query of this id is open");
+        }
+        platform::answer(&self.broker.ask(ask).await)
+    }
+
+    fn health(&self) -> Response {
+        match self.gate.phase() {
+            Phase::Serving if self.broker.core(|core| core.ready()) => Response::text(200, "serving"),
+            Phase::Serving => Response::text(503, "no worker is known yet"),
+            Phase::Stopping | Phase::Closing => Response::text(503, "stopping"),
+        }
+    }
+}
+
+impl Front for Platform {
+    async fn respond(&self, request: Request) -> Response {
+        match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/api") => self.query(&request).await,
+            ("GET", "/_health") => self.health(),
+            ("GET", "/_counters") => Response::text(200, self.broker.core(|core| core.counters.to_string())),
+            (_, "/api") => Response::text(405, "only POST").with("Allow", "POST"),
+            (_, "/_health" | "/_counters") => Response::text(405, "only GET").with("Allow", "GET"),
+            (_, path) => Response::text(404, format!("nothing at {path}")),
+        }
+    }
+
+    fn malformed(&self, error: Malformed) -> Response {
+        self.broker.core(|core| core.counters.malformed += 1);
+        Response::text(error.status(), error.to_string())
+    }
+}
--- /dev/null
+++ b/src/program/settings.rs
@@ -0,0 +1,238 @@
+//! The settings of an instance, by path: the one place that reads, checks and defaults them, for the simulator's
+//! `path=value` pairs and for nested JSON alike.
+
+use crate::api::*;
+use crate::protocol::frame;
+use crate::routing::{Contracts, Limits};
+use serde_json::Value;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Queries and parts that may be open where no setting says.
+const MAX_OPEN: u32 = 10_000;
+/// Time for a connection to come up, idle time, and parts on a connection where no setting says.
+const CONNECT: Duration = Duration::from_millis(250);
+const IDLE: Duration = Duration::from_secs(15);
+const MULTIPLEX: u32 = 32;
+
+/// A setting that cannot be used, by the path of its key.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{path}: {what}")]
+pub struct Faulty {
+    /// The key.
+    pub path: String,
+    /// What is wrong with it.
+    pub what: String,
+}
+
+impl Faulty {
+    /// The fault of this key.
+    pub fn new(path: &str, what: impl Into<String>) -> Faulty {
+        Faulty { path: path.to_owned(), what: what.into() }
+    }
+}
+
+/// Settings by path. An absent one has the value that [`Settings`] states.
+#[derive(Debug, Default)]
+pub struct Pairs(HashMap<String, String>);
+
+impl Pairs {
+    /// Reads `path=value` pairs with a space between each.
+    pub fn from_text(text: &str) -> Result<Pairs, Faulty> {
+        let mut map = HashMap::new();
+        for pair in text.split(' ').filter(|pair| !pair.is_empty() && *pair != "-") {
+            let Some((path, value)) = pair.split_once('=') else {
+                return Err(Faulty::new(&format!("{pair:?}"), "expected path=value"));
+            };
+            map.insert(path.to_owned(), value.to_owned());
+        }
+        Ok(Pairs(map))
+    }
+
+    /// Reads nested JSON: `a.b` for fields, `a.0` and `a.count` for lists.
+    pub fn from_json(value: &Value) -> Pairs {
+        let mut pairs = Pairs::default();
+        pairs.add("", value);
+        pairs
+    }
+
+    fn add(&mut self, path: &str, value: &Value) {
+        let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+        match value {
+            Value::Null => {}
+            Value::Object(fields) => fields.iter().for_each(|(name, value)| self.add(&below(name), value)),
+            Value::Array(items) => {
+                self.0.insert(below("count"), items.len().to_string());
+                items.iter().enumerate().for_each(|(at, item)| self.add(&below(&at.to_string()), item));
+                // Plain values stand joined under the list's own path too, as the simulator writes them.
+                if items.iter().all(|item| !item.is_object() && !item.is_array()) {
+                    let row: Vec<String> = items.iter().map(plain).collect();
+                    self.0.insert(path.to_owned(), row.join(","));
+                }
+            }
+            value => {
+                self.0.insert(path.to_owned(), plain(value));
+            }
+        }
+    }
+
+    fn text(&self, path: &str) -> Option<&str> {
+        self.0.get(path).map(String::as_str).filter(|value| !value.is_empty() && *value != "-")
+    }
+    fn number(&self, path: &str) -> Result<Option<f64>, Faulty> {
+        let Some(value) = self.text(path) else { return Ok(None) };
+        match value.parse::<f64>() {
+            Ok(number) if number.is_finite() => Ok(Some(number)),
+            _ => Err(Faulty::new(path, format!("bad number {value:?}"))),
+        }
+    }
+    fn count(&self, path: &str) -> Result<u32, Faulty> {
+        Ok(self.number(path)?.unwrap_or(0.0).max(0.0) as u32)
+    }
+    fn span(&self, path: &str) -> Result<Option<Duration>, Faulty> {
+        Ok(self.number(path)?.map(|span| Duration::from_nanos(span.max(0.0) as u64)))
+    }
+    fn flag(&self, path: &str) -> Result<bool, Faulty> {
+        match self.text(path) {
+            None | Some("false" | "0") => Ok(false),
+            Some("true" | "1") => Ok(true),
+            Some(value) => Err(Faulty::new(path, format!("bad value {value:?}"))),
+        }
+    }
+    /// A value for each class: one for all, a comma-joined list, or numbered paths.
+    fn by_class(&self, path: &str, class: usize) -> Result<Option<f64>, Faulty> {
+        let numbered = format!("{path}.{class}");
+        if self.text(&numbered).is_some() {
+            return self.number(&numbered);
+        }
+        let Some(list) = self.text(path) else { return Ok(None) };
+        let item = list.split(',').nth(class).or_else(|| list.split(',').next_back());
+        item.map(|item| item.parse().map_err(|_| Faulty::new(path, format!("bad number {item:?}"))))
+            .transpose()
+    }
+    /// A list of names, numbered or comma-joined.
+    fn names(&self, path: &str) -> Vec<String> {
+        let numbered: Vec<String> =
+            (0..).map_while(|at| self.text(&format!("{path}.{at}")).map(str::to_owned)).collect();
+        if !numbered.is_empty() {
+            return numbered;
+        }
+        self.text(path).map(|list| list.split(',').map(str::to_owned).collect()).unwrap_or_default()
+    }
+
+    /// The contracts that these settings make, for an instance with this seed.
+    pub fn contracts(&self, seed: u64) -> Result<Contracts, Faulty> {
+        let named = |list: &str, at: u32| {
+            self.text(&format!("{list}.{at}.name")).map_or_else(|| at.to_string(), str::to_owned)
+        };
+        let (classes, tenants) = (self.count("categories.count")?, self.count("tenants.count")?);
+        Ok(Contracts {
+            settings: self.settings(seed)?,
+            classes: (0..classes).map(|at| named("categories", at)).collect(),
+            tenants: (0..tenants).map(|at| named("tenants", at)).collect(),
+            zones: self.names("localities"),
+            limits: Limits {
+                max_open: match self.count("allowed.max-open")? {
+                    0 => MAX_OPEN as usize,
+                    most => most as usize,
+                },
+                connect_timeout: self.span("allowed.connect-timeout")?.unwrap_or(CONNECT),
+                conn_idle: self.span("allowed.conn-idle")?.unwrap_or(IDLE),
+                multiplex: match self.count("allowed.multiplex")? {
+                    0 => MULTIPLEX as usize,
+                    most => most as usize,
+                },
+            },
+        })
+    }
+
+    fn class(&self, at: usize) -> Result<Class, Faulty> {
+        let path = |name: &str| format!("categories.{at}.{name}");
+        let deadline = self.span(&path("deadline"))?.unwrap_or_default();
+        let whole_at = self.by_class("domain.whole-at", at)?.unwrap_or(1.0);
+        Ok(Class {
+            aim: self.span(&path("promise"))?.unwrap_or(deadline),
+            aim_stretch: self.number(&path("aim-stretch"))?.unwrap_or(0.0),
+            deadline,
+            effect: match self.text(&path("semantics")) {
+                Some("repeatable") => Effect::Repeatable,
+                Some("by_key") => Effect::ByKey,
+                Some("once") | None => Effect::Once,
+                Some(other) => {
+                    return Err(Faulty::new(&path("semantics"), format!("unknown value {other:?}")));
+                }
+            },
+            window: self.span(&path("window"))?.unwrap_or_default(),
+            worth: self.number(&path("worth"))?.unwrap_or(1.0),
+            late_worth: self.number(&path("late-worth"))?.unwrap_or(0.0),
+            min_share: self.by_class("domain.min-share", at)?.unwrap_or(whole_at),
+            whole_at,
+            short_worth: self.by_class("domain.short-worth", at)?.unwrap_or(0.0),
+            follow_up: self.by_class("domain.follow-up", at)?.unwrap_or(0.0).max(0.0) as u32,
+        })
+    }
+
+    fn settings(&self, seed: u64) -> Result<Settings, Faulty> {
+        let classes = (0..self.count("categories.count")? as usize).map(|at| self.class(at));
+        let mut tenants = Vec::new();
+        for at in 0..self.count("tenants.count")? {
+            tenants.push(Tenant { quota_per_s: self.number(&format!("tenants.{at}.quota-per-s"))? });
+        }
+        let budget = match self.span("rules.look-back")? {
+            Some(window) => Some(Budget {
+                free: self.number("rules.free-resends")?.unwrap_or(0.0),
+                ratio: self.number("rules.further-ratio")?.unwrap_or(0.0),
+                window,
+            }),
+            None => None,
+        };
+        Ok(Settings {
+            seed,
+            roots: self.count("balancers")?.max(1),
+            zone: ZoneId(self.count("az")?),
+            classes: classes.collect::<Result<_, _>>()?,
+            tenants,
+            quantum: self.span("quantum")?.unwrap_or_default(),
+            ask_discovery: self.text("discovery") == Some("on_request"),
+            must_ask_in: self.span("rules.must-ask-in")?.unwrap_or_default(),
+            may_cancel: self.flag("allowed.cancel")?,
+            may_probe: self.flag("allowed.probing")?,
+            second_copies: self.flag("allowed.second-copies")?,
+            most_attempts: self.number("allowed.most-tries")?.map(|most| most.max(1.0) as u32),
+            longest_pause: match self.flag("allowed.retry-after")? {
+                true => self.span("allowed.max-retry-after")?,
+                false => None,
+            },
+            budget,
+            cells: self.count("domain.cells")?,
+            span: self.count("domain.span")?.max(1),
+            shards: self.count("domain.slices")?,
+            per_call: self.count("domain.per-call")?.max(1),
+            call_work: self.span("domain.call")?.unwrap_or_default(),
+            warm_keys: self.flag("domain.warm-keys")?,
+            cross_zone_price: self.number("deductions.cross-zone")?.unwrap_or(0.0),
+            waste_price: self.number("deductions.waste")?.unwrap_or(0.0),
+            probe_price: self.number("deductions.probe")?.unwrap_or(0.0),
+            reports: match self.text("report.source") {
+                Some("piggyback") => Reports::Answers,
+                Some("pull") => Reports::Probes,
+                _ => Reports::Silent,
+            },
+            fields: self.names("report.fields").iter().map(|name| frame::field(name)).collect(),
+            sized: self.text("weights").is_some_and(|weights| weights != "silent"),
+            cold_share: self.number("rules.cold-share")?.unwrap_or(1.0),
+            warm_up: self.span("rules.warm-up")?.unwrap_or_default(),
+            fall_multiple: self.number("rules.fall-multiple")?.unwrap_or(1.0),
+            fall: self.span("rules.fall")?.unwrap_or_default(),
+            answer_grace: self.span("rules.grace-to-answer")?.unwrap_or_default(),
+        })
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "-".to_owned(),
+        value => value.to_string(),
+    }
+}
--- /dev/null
+++ b/src/protocol/frame.rs
@@ -0,0 +1,143 @@
+//! Frames between gatherers and workers: a four-byte length, least significant byte first, a letter, the rest.
+
+use crate::api::{Field, Outcome, Report};
+use crate::routing::Dispatch;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+
+/// The longest frame a worker may send: a value that fits an answer, and its line.
+const LONGEST: usize = 68 * 1024;
+
+/// Why bytes are no frame.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Malformed {
+    /// A length of nothing, or over the limit.
+    #[error("a frame of {0} bytes")]
+    Length(usize),
+    /// A letter that workers do not send.
+    #[error("a frame of kind {0:?}")]
+    Kind(char),
+    /// The line of an answer.
+    #[error("malformed answer: {0}")]
+    Line(&'static str),
+}
+
+/// What a worker says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Incoming {
+    /// A part has ended.
+    Answer {
+        /// The part's id.
+        id: String,
+        /// How.
+        outcome: Outcome,
+        /// Its value.
+        value: Bytes,
+        /// The worker's load.
+        report: Option<Report>,
+    },
+    /// The frame before could not be used; the worker closes the connection.
+    Rejected(String),
+}
+
+/// The id of a part on the wire.
+pub fn part_id(label: &str, shard: u32) -> String {
+    format!("{label}.{shard}")
+}
+
+fn frame(letter: u8, rest: &[&[u8]]) -> Bytes {
+    let length = 1 + rest.iter().map(|piece| piece.len()).sum::<usize>();
+    let mut bytes = BytesMut::with_capacity(4 + length);
+    bytes.put_u32_le(u32::try_from(length).unwrap_or(u32::MAX));
+    bytes.put_u8(letter);
+    rest.iter().for_each(|piece| bytes.put_slice(piece));
+    bytes.freeze()
+}
+
+/// One call for these parts.
+pub fn call(parts: &[Dispatch]) -> Bytes {
+    let mut rest = BytesMut::new();
+    for part in parts {
+        let (id, wait) = (part_id(&part.label, part.shard.0), part.timeout.as_millis());
+        rest.put_slice(format!("{id} {} d={wait} {}\n", part.shard.0, part.text.len()).as_bytes());
+        rest.put_slice(&part.text);
+    }
+    frame(b'm', &[&rest])
+}
+
+/// Gives a part up.
+pub fn give_up(id: &str) -> Bytes {
+    frame(b'n', &[id.as_bytes()])
+}
+
+/// Takes one whole frame off the front of the buffer; `None` while it is not all there.
+pub fn take(buffer: &mut BytesMut, fields: &[Field]) -> Result<Option<Incoming>, Malformed> {
+    let Some(length) = buffer.first_chunk::<4>().map(|bytes| u32::from_le_bytes(*bytes) as usize) else {
+        return Ok(None);
+    };
+    if length == 0 || length > LONGEST {
+        return Err(Malformed::Length(length));
+    }
+    if buffer.len() < 4 + length {
+        return Ok(None);
+    }
+    buffer.advance(4);
+    let letter = buffer.get_u8();
+    let rest = buffer.split_to(length - 1);
+    match letter {
+        b'q' => answer(&rest, fields).map(Some),
+        b'r' => Ok(Some(Incoming::Rejected(String::from_utf8_lossy(&rest).into_owned()))),
+        other => Err(Malformed::Kind(char::from(other))),
+    }
+}
+
+fn answer(rest: &[u8], fields: &[Field]) -> Result<Incoming, Malformed> {
+    let line = rest.iter().position(|byte| *byte == b'\n').ok_or(Malformed::Line("no end of line"))?;
+    let text = std::str::from_utf8(&rest[..line]).map_err(|_| Malformed::Line("not UTF-8"))?;
+    let mut words = text.split(' ');
+    let (Some(id), Some(end), Some(_score), Some(load), None) =
+        (words.next(), words.next(), words.next(), words.next(), words.next())
+    else {
+        return Err(Malformed::Line("not four words"));
+    };
+    let outcome = match end {
+        "good" => Outcome::Done,
+        "bad" => Outcome::Error,
+        "later" => Outcome::Busy,
+        _ => return Err(Malformed::Line("unknown end")),
+    };
+    let value = &rest[line + 1..];
+    if outcome == Outcome::Done && std::str::from_utf8(value).is_err() {
+        return Err(Malformed::Line("a value that is no text"));
+    }
+    let report = report(load, fields).ok_or(Malformed::Line("unreadable report"))?;
+    Ok(Incoming::Answer { id: id.to_owned(), outcome, value: Bytes::copy_from_slice(value), report })
+}
+
+/// A load report by name, put in the order of the settings; the inner `None` where there is none.
+fn report(text: &str, fields: &[Field]) -> Option<Option<Report>> {
+    if text == "-" {
+        return Some(None);
+    }
+    let mut row = vec![None; fields.len()];
+    for item in text.split(',') {
+        let (name, value) = item.split_once('=')?;
+        let value = value.parse::<f64>().ok().filter(|value| value.is_finite())?;
+        let known = field(name);
+        if let Some(at) = fields.iter().position(|field| *field == known && known != Field::Unknown) {
+            row[at] = Some(value);
+        }
+    }
+    Some(Some(row))
+}
+
+/// The value that a report calls by this name, in the words of sockets or of the simulator.
+pub fn field(name: &str) -> Field {
+    match name {
+        "util" | "busy" => Field::Busy,
+        "inflight" | "rif" => Field::InFlight,
+        "queue" | "q" => Field::Queued,
+        "latency_ms" | "lat_ms" => Field::LatencyMs,
+        "qps" | "rate" => Field::Rate,
+        _ => Field::Unknown,
+    }
+}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,6 @@
+//! Bytes to values and back. No sockets, no clocks, no decisions.
+
+pub mod discovery;
+pub mod frame;
+pub mod http;
+pub mod platform;
--- /dev/null
+++ b/src/protocol/platform.rs
@@ -0,0 +1,154 @@
+//! The platform's client protocol: `POST /api` to an [`Ask`], and a [`Verdict`] to its answer.
+
+use super::http::{MOST_BODY, Request, Response};
+use crate::api::ShardId;
+use crate::routing::{Ask, AskPart, Contracts, Verdict};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The longest id of a call that is taken: part ids of twice that still fit a line of a frame.
+const LONGEST_ID: usize = 128;
+/// The longest that a client may wait, whatever its class: an hour.
+const LONGEST_BUDGET_MS: u64 = 3_600_000;
+
+/// Why a request is no query; the text goes to the client.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum Invalid {
+    /// A header field that must be there.
+    #[error("{0} is missing")]
+    Missing(&'static str),
+    /// A header field whose value makes no sense.
+    #[error("{0}: {1}")]
+    Field(&'static str, String),
+    /// The body.
+    #[error("body: {0}")]
+    Body(String),
+}
+
+#[derive(Deserialize)]
+struct Body {
+    ranges: Vec<Range>,
+    predicate: String,
+}
+
+#[derive(Deserialize)]
+struct Range {
+    range: u32,
+    portion: f64,
+    price: Option<f64>,
+    hash: Option<String>,
+}
+
+#[derive(Serialize)]
+struct Answer<'a> {
+    total: bool,
+    answers: Vec<Hit<'a>>,
+}
+
+#[derive(Serialize)]
+struct Hit<'a> {
+    range: u32,
+    blob: &'a str,
+}
+
+/// The query that a request asks.
+pub fn ask(request: &Request, contracts: &Contracts) -> Result<Ask, Invalid> {
+    let field = |name: &'static str| request.headers.get(name).filter(|value| !value.is_empty());
+    let must = |name| field(name).ok_or(Invalid::Missing(name));
+    let invalid = |name, what: &str| Invalid::Field(name, what.to_owned());
+
+    let id = must("X-Call-Id")?;
+    if id.len() > LONGEST_ID || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(invalid("X-Call-Id", "not a short word"));
+    }
+    let name = must("X-Call-Class")?;
+    let (class, _) =
+        contracts.class(name).ok_or_else(|| Invalid::Field("X-Call-Class", format!("no class {name:?}")))?;
+    let tenant = match field("X-Caller") {
+        _ if contracts.tenants.is_empty() => None,
+        None => return Err(Invalid::Missing("X-Caller")),
+        Some(name) => Some(
+            contracts
+                .tenant(name)
+                .ok_or_else(|| Invalid::Field("X-Caller", format!("no tenant {name:?}")))?,
+        ),
+    };
+    let budget = must("X-Budget-Ms")?.parse::<u64>().ok().filter(|ms| (1..=LONGEST_BUDGET_MS).contains(ms));
+    let left = budget.ok_or_else(|| invalid("X-Budget-Ms", "not a number of milliseconds"))?;
+    let route = field("X-Route-Hash");
+
+    let body: Body =
+        serde_json::from_slice(&request.body).map_err(|error| Invalid::Body(error.to_string()))?;
+    let shards = contracts.settings.shards;
+    let mut parts: Vec<AskPart> = Vec::with_capacity(body.ranges.len());
+    for range in body.ranges {
+        let bad = |what: &str| Invalid::Body(format!("range {}: {what}", range.range));
+        if range.range >= shards {
+            return Err(bad(&format!("there are {shards}")));
+        }
+        if parts.iter().any(|part| part.shard.0 == range.range) {
+            return Err(bad("named twice"));
+        }
+        if !(range.portion.is_finite() && range.portion >= 0.0) {
+            return Err(bad("portion is no share"));
+        }
+        if range.price.is_some_and(|price| !(0.0..=3.6e9).contains(&price)) {
+            return Err(bad("price is no time in microseconds"));
+        }
+        parts.push(AskPart {
+            shard: ShardId(range.range),
+            weight: range.portion,
+            hint: range.price.map(|price| Duration::from_secs_f64(price / 1e6)),
+            key: range.hash.or_else(|| route.map(|key| format!("{key}.{}", range.range))).map(Arc::from),
+        });
+    }
+    let sum: f64 = parts.iter().map(|part| part.weight).sum();
+    if parts.is_empty() || (sum - 1.0).abs() > 0.01 {
+        return Err(Invalid::Body("the portions of the ranges do not sum to 1".to_owned()));
+    }
+    Ok(Ask {
+        label: Arc::from(id),
+        class,
+        tenant,
+        left: Duration::from_millis(left),
+        retry: field("X-Again") == Some("1"),
+        text: Bytes::from(body.predicate),
+        parts,
+    })
+}
+
+/// The answer that a verdict makes.
+pub fn answer(verdict: &Verdict) -> Response {
+    match verdict {
+        Verdict::Answered { whole, values } => {
+            let hit = |(shard, value): &(ShardId, Bytes)| {
+                std::str::from_utf8(value).ok().map(|_| (shard.0, value.clone()))
+            };
+            let rows: Option<Vec<(u32, Bytes)>> = values.iter().map(hit).collect();
+            let Some(rows) = rows else { return Response::text(502, "a value is no text") };
+            let hits = rows.iter().map(|(range, value)| Hit {
+                range: *range,
+                blob: std::str::from_utf8(value).unwrap_or_default(),
+            });
+            let answer = Answer { total: *whole, answers: hits.collect() };
+            match serde_json::to_vec(&answer) {
+                Ok(body) if body.len() <= MOST_BODY => Response::json(200, body),
+                Ok(_) => Response::text(502, "the answer is longer than a body may be"),
+                Err(error) => Response::text(500, error.to_string()),
+            }
+        }
+        Verdict::Refused { pause, .. } => refusal(*pause),
+        Verdict::Failed => Response::text(504, "not served in time; it may have run"),
+    }
+}
+
+/// A refusal, with the time after which to come back.
+pub fn refusal(pause: Option<Duration>) -> Response {
+    let response = Response::text(503, "refused; nothing has run, try again");
+    match pause.filter(|pause| !pause.is_zero()) {
+        Some(pause) => response.with("Retry-After", format!("{:.3}", pause.as_secs_f64())),
+        None => response,
+    }
+}
--- /dev/null
+++ b/src/routing/core.rs
@@ -0,0 +1,473 @@
+//! The life of queries without any input or output: events go in, orders come out, time is handed in.
+
+use super::contracts::Contracts;
+use super::counters::Counters;
+use super::roster::{Listing, Roster};
+use crate::Aggregator;
+use crate::api::*;
+use bytes::Bytes;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Servers that may be remembered after they have gone: far more than a day replaces.
+const MOST_NAMES: usize = 4096;
+
+/// A query as a front offers it.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Names the query to the servers.
+    pub label: Arc<str>,
+    /// Its class.
+    pub class: ClassId,
+    /// Who asks.
+    pub tenant: Option<TenantId>,
+    /// How long its client will wait.
+    pub left: Duration,
+    /// A client's repeat, where it says so.
+    pub retry: bool,
+    /// What each part carries.
+    pub text: Bytes,
+    /// Its parts, one a shard.
+    pub parts: Vec<AskPart>,
+}
+
+/// A part of an [`Ask`].
+#[derive(Clone, Debug)]
+pub struct AskPart {
+    /// The shard that it needs.
+    pub shard: ShardId,
+    /// Its share of the whole answer.
+    pub weight: f64,
+    /// Rough expected work.
+    pub hint: Option<Duration>,
+    /// What it is about.
+    pub key: Option<Arc<str>>,
+}
+
+/// Names one attempt of one part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket {
+    /// The part.
+    pub part: RequestId,
+    /// The attempt.
+    pub attempt: AttemptNo,
+}
+
+/// An attempt for a transport to carry.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    /// Comes back with its end.
+    pub ticket: Ticket,
+    /// The query's label.
+    pub label: Arc<str>,
+    /// The shard.
+    pub shard: ShardId,
+    /// What it carries.
+    pub text: Bytes,
+    /// How long it will be waited for.
+    pub timeout: Duration,
+}
+
+/// How an attempt ended, as a transport reports it.
+#[derive(Clone, Debug)]
+pub struct End {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The value, with [`Outcome::Done`].
+    pub value: Bytes,
+    /// The server's load, in the order of the settings' fields.
+    pub report: Option<Report>,
+}
+
+impl End {
+    /// An end that brings nothing but its outcome.
+    pub fn bare(outcome: Outcome) -> End {
+        End { outcome, value: Bytes::new(), report: None }
+    }
+}
+
+/// Why a query is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The module does not expect it to be served in time.
+    Declined,
+    /// The broker holds as many queries and parts as it may.
+    Full,
+    /// The broker is stopping.
+    Stopping,
+}
+
+/// The one final answer of a query.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Served.
+    Answered {
+        /// It is marked whole.
+        whole: bool,
+        /// The value of each part that is in.
+        values: Vec<(ShardId, Bytes)>,
+    },
+    /// Refused: a retry is harmless.
+    Refused {
+        /// Why.
+        why: Refusal,
+        /// When to come back.
+        pause: Option<Duration>,
+    },
+    /// Failed, with no promise.
+    Failed,
+}
+
+/// What the core asks of its host.
+#[derive(Clone, Debug)]
+pub enum Order {
+    /// A server is listed at this address; `open` is whether it may be sent anything new.
+    Member {
+        /// The server.
+        leaf: LeafId,
+        /// Its name.
+        name: String,
+        /// Its address.
+        address: String,
+        /// It takes work.
+        open: bool,
+    },
+    /// A server is no longer listed.
+    Gone {
+        /// The server.
+        leaf: LeafId,
+    },
+    /// Carry these attempts as one call.
+    Call {
+        /// To this server.
+        leaf: LeafId,
+        /// The attempts.
+        parts: Vec<Dispatch>,
+    },
+    /// Wait no longer for this attempt; its end is already booked.
+    Abandon {
+        /// At this server.
+        leaf: LeafId,
+        /// The attempt.
+        ticket: Ticket,
+    },
+    /// Give a query its final answer.
+    Settle {
+        /// The query.
+        query: RequestId,
+        /// The answer.
+        verdict: Verdict,
+    },
+    /// Write a line for the people on call.
+    Trace(String),
+}
+
+struct Held {
+    label: Arc<str>,
+    text: Bytes,
+    valid_until: Time,
+    parts: Vec<RequestId>,
+}
+
+struct HeldPart {
+    query: RequestId,
+    shard: ShardId,
+    attempts: u32,
+    value: Option<Bytes>,
+}
+
+struct Flight {
+    leaf: LeafId,
+    sent: Time,
+    deadline: Time,
+}
+
+/// One broker's state.
+pub struct Core {
+    contracts: Contracts,
+    module: Aggregator,
+    inbox: Vec<Event>,
+    orders: Vec<Order>,
+    timers: BTreeMap<(Time, u64), Handle>,
+    queries: HashMap<RequestId, Held>,
+    labels: HashSet<Arc<str>>,
+    parts: HashMap<RequestId, HeldPart>,
+    flights: BTreeMap<Ticket, Flight>,
+    roster: Roster,
+    listed: HashSet<LeafId>,
+    next: u64,
+    /// What it has counted so far.
+    pub counters: Counters,
+}
+
+impl Core {
+    /// A broker that knows no servers yet.
+    pub fn new(contracts: Contracts) -> Core {
+        Core {
+            module: Aggregator::new(contracts.settings.clone()),
+            contracts,
+            inbox: Vec::new(),
+            orders: Vec::new(),
+            timers: BTreeMap::new(),
+            queries: HashMap::new(),
+            labels: HashSet::new(),
+            parts: HashMap::new(),
+            flights: BTreeMap::new(),
+            roster: Roster::default(),
+            listed: HashSet::new(),
+            next: 1,
+            counters: Counters::default(),
+        }
+    }
+
+    /// The contracts that it serves.
+    pub fn contracts(&self) -> &Contracts {
+        &self.contracts
+    }
+
+    /// Whether it knows of any server.
+    pub fn ready(&self) -> bool {
+        !self.listed.is_empty()
+    }
+
+    /// Queries that wait for their answer.
+    pub fn open(&self) -> usize {
+        self.queries.len()
+    }
+
+    /// Whether a query of this label is open.
+    pub fn has(&self, label: &str) -> bool {
+        self.labels.contains(label)
+    }
+
+    fn id(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// Takes a query in. Its answer comes as [`Order::Settle`].
+    pub fn offer(&mut self, now: Time, ask: Ask) -> Result<RequestId, Verdict> {
+        self.counters.taken += 1;
+        if self.queries.len() + self.parts.len() >= self.contracts.limits.max_open {
+            self.counters.refused_full += 1;
+            return Err(Verdict::Refused {
+                why: Refusal::Full,
+                pause: self.contracts.settings.longest_pause,
+            });
+        }
+        let (id, job) = (RequestId(self.id()), JobId(self.next));
+        let valid_until = now.after(ask.left);
+        let (class, tenant, retry) = (ask.class, ask.tenant, ask.retry);
+        self.inbox.push(Event::Query(NewQuery { id, class, tenant, valid_until, job, retry }));
+        let mut held = Held { label: ask.label, text: ask.text, valid_until, parts: Vec::new() };
+        for AskPart { shard, weight, hint, key } in ask.parts {
+            let part = RequestId(self.id());
+            self.inbox.push(Event::Part(NewPart { id: part, key, hint, job, shard, weight }));
+            self.parts.insert(part, HeldPart { query: id, shard, attempts: 0, value: None });
+            held.parts.push(part);
+        }
+        self.labels.insert(held.label.clone());
+        self.queries.insert(id, held);
+        Ok(id)
+    }
+
+    /// The client of a query has gone away.
+    pub fn client_left(&mut self, id: RequestId) {
+        if self.close(id).is_some() {
+            self.counters.left += 1;
+            self.inbox.push(Event::ClientLeft { id });
+        }
+    }
+
+    /// An attempt has ended. One that was timed out or called off before is not heard again.
+    pub fn ended(&mut self, now: Time, ticket: Ticket, end: End) {
+        let Some(flight) = self.flights.remove(&ticket) else { return };
+        self.book(now, ticket, &flight, end);
+    }
+
+    fn book(&mut self, now: Time, ticket: Ticket, flight: &Flight, end: End) {
+        let End { outcome, value, report } = end;
+        self.counters.ended(outcome);
+        let held = self.parts.get_mut(&ticket.part);
+        let over = outcome == Outcome::Done || held.is_none();
+        if let Some(part) = held.filter(|_| outcome == Outcome::Done) {
+            part.value.get_or_insert(value);
+        }
+        let elapsed = now.since(flight.sent);
+        let (id, attempt, leaf) = (ticket.part, ticket.attempt, flight.leaf);
+        self.inbox.push(Event::Ended(AttemptEnd { id, attempt, leaf, outcome, elapsed, over, report }));
+    }
+
+    /// A load report that came by itself, not with an answer.
+    pub fn load_report(&mut self, server: &str, report: Report) -> bool {
+        let Some(leaf) = self.roster.known(server) else { return false };
+        let (outcome, elapsed) = (Outcome::Done, Duration::ZERO);
+        self.inbox.push(Event::Probed { leaf, outcome, elapsed, report: Some(report) });
+        true
+    }
+
+    /// News from discovery; `cached` for the list as last held.
+    pub fn learn(&mut self, listing: &Listing, cached: bool) {
+        self.counters.listings += 1;
+        let mut entries = Vec::new();
+        let mut named = HashSet::new();
+        for member in &listing.members {
+            let leaf = self.roster.id(&member.name);
+            let (zone, cell) = (self.contracts.zone(&member.zone), CellId(member.cell));
+            let (status, units, since) = (member.status, member.units, member.since);
+            entries.push(Entry { leaf, zone, cell, status, units, since });
+            named.insert(leaf);
+            if status == Status::Gone {
+                self.listed.remove(&leaf);
+                self.orders.push(Order::Gone { leaf });
+                continue;
+            }
+            self.listed.insert(leaf);
+            self.orders.push(Order::Member {
+                leaf,
+                name: member.name.clone(),
+                address: member.address.clone(),
+                open: status == Status::Active,
+            });
+        }
+        if listing.complete {
+            let gone: Vec<LeafId> = self.listed.difference(&named).copied().collect();
+            self.orders.extend(gone.into_iter().map(|leaf| Order::Gone { leaf }));
+            self.listed = entries.iter().filter(|e| e.status != Status::Gone).map(|e| e.leaf).collect();
+        }
+        let known: Vec<LeafId> = self.roster.all().collect();
+        if known.len() > MOST_NAMES {
+            let busy: HashSet<LeafId> = self.flights.values().map(|flight| flight.leaf).collect();
+            let idle = |leaf: &LeafId| !self.listed.contains(leaf) && !busy.contains(leaf);
+            self.roster.forget(known.into_iter().filter(idle));
+        }
+        self.inbox.push(Event::Membership(match (cached, listing.complete) {
+            (true, _) => Membership::Cached(entries.into()),
+            (false, true) => Membership::Full(entries.into()),
+            (false, false) => Membership::Delta(entries.into()),
+        }));
+    }
+
+    /// When [`Core::turn`] is next to be called, if nothing happens before.
+    pub fn next_due(&self, now: Time) -> Option<Time> {
+        if !self.inbox.is_empty() || !self.orders.is_empty() {
+            return Some(now);
+        }
+        let timers = self.timers.keys().next().map(|(at, _)| *at);
+        let flights = self.flights.values().map(|flight| flight.deadline).min();
+        let queries = self.queries.values().map(|query| self.overdue_at(query)).min();
+        [timers, flights, queries].into_iter().flatten().min()
+    }
+
+    fn overdue_at(&self, query: &Held) -> Time {
+        query.valid_until.after(self.contracts.settings.answer_grace / 2)
+    }
+
+    /// Hands everything that has happened to the module in one turn, and returns what is to be done.
+    pub fn turn(&mut self, now: Time) -> Vec<Order> {
+        while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= now) {
+            let handle = entry.remove();
+            self.inbox.push(Event::Due { handle });
+        }
+        let late = self.flights.extract_if(.., |_, flight| flight.deadline <= now).collect::<Vec<_>>();
+        for (ticket, flight) in late {
+            self.orders.push(Order::Abandon { leaf: flight.leaf, ticket });
+            self.book(now, ticket, &flight, End::bare(Outcome::TimedOut));
+        }
+        let mut actions = Vec::new();
+        if !self.inbox.is_empty() {
+            self.module.turn(now, self.inbox.drain(..), &mut actions);
+        }
+        let mut calls: Vec<(LeafId, Vec<Dispatch>)> = Vec::new();
+        for action in actions {
+            self.carry_out(now, action, &mut calls);
+        }
+        let room = self.contracts.settings.per_call.max(1) as usize;
+        for (leaf, parts) in calls {
+            let calls = parts.chunks(room).map(|parts| Order::Call { leaf, parts: parts.to_vec() });
+            self.orders.extend(calls);
+        }
+        // Guards against a query that the module lets run past its client's time: it is failed, not lost.
+        let overdue =
+            |query: &&RequestId| self.queries.get(query).is_some_and(|query| self.overdue_at(query) <= now);
+        for query in self.queries.keys().filter(overdue).copied().collect::<Vec<_>>() {
+            self.inbox.push(Event::ClientLeft { id: query });
+            self.orders.push(Order::Trace(format!("query {} ran past its time", query.0)));
+            self.settle(query, |_| Verdict::Failed);
+        }
+        std::mem::take(&mut self.orders)
+    }
+
+    fn carry_out(&mut self, now: Time, action: Action, calls: &mut Vec<(LeafId, Vec<Dispatch>)>) {
+        match action {
+            Action::Send { id, leaf, timeout } => self.send(now, id, leaf, timeout, calls),
+            Action::Cancel { id, attempt } => {
+                let ticket = Ticket { part: id, attempt };
+                let Some(flight) = self.flights.remove(&ticket) else { return };
+                // One that is called off in the turn that sent it never leaves.
+                calls.iter_mut().for_each(|(_, parts)| parts.retain(|part| part.ticket != ticket));
+                self.orders.push(Order::Abandon { leaf: flight.leaf, ticket });
+                self.book(now, ticket, &flight, End::bare(Outcome::Cancelled));
+            }
+            Action::Answer { id, whole } => self.settle(id, |parts| {
+                let values = parts.into_iter().filter_map(|part| Some((part.shard, part.value?))).collect();
+                Verdict::Answered { whole, values }
+            }),
+            Action::Refuse { id, pause } => {
+                self.settle(id, |_| Verdict::Refused { why: Refusal::Declined, pause });
+            }
+            Action::Fail { id } => self.settle(id, |_| Verdict::Failed),
+            Action::Wake { after, handle } => {
+                let number = self.id();
+                self.timers.insert((now.after(after), number), handle);
+            }
+            // Membership comes unasked here, and probes are not allowed: the module does not ask for either.
+            Action::Watch | Action::Probe { .. } => {}
+            Action::Trace { text } => self.orders.push(Order::Trace(text)),
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        leaf: LeafId,
+        timeout: Duration,
+        calls: &mut Vec<(LeafId, Vec<Dispatch>)>,
+    ) {
+        let Some(part) = self.parts.get_mut(&id) else { return };
+        let Some(query) = self.queries.get(&part.query) else { return };
+        let ticket = Ticket { part: id, attempt: AttemptNo(part.attempts) };
+        part.attempts += 1;
+        self.counters.sent += 1;
+        self.counters.resent += u64::from(ticket.attempt.0 > 0);
+        let timeout = timeout.min(query.valid_until.since(now));
+        self.flights.insert(ticket, Flight { leaf, sent: now, deadline: now.after(timeout) });
+        let (label, text) = (query.label.clone(), query.text.clone());
+        let dispatch = Dispatch { ticket, label, shard: part.shard, text, timeout };
+        match calls.iter_mut().find(|(to, _)| *to == leaf) {
+            Some((_, parts)) => parts.push(dispatch),
+            None => calls.push((leaf, vec![dispatch])),
+        }
+    }
+
+    /// Ends a query here; `None` if it has ended before. Its parts go with it.
+    fn close(&mut self, id: RequestId) -> Option<Vec<HeldPart>> {
+        let query = self.queries.remove(&id)?;
+        self.labels.remove(&query.label);
+        Some(query.parts.iter().filter_map(|part| self.parts.remove(part)).collect())
+    }
+
+    fn settle(&mut self, query: RequestId, verdict: impl FnOnce(Vec<HeldPart>) -> Verdict) {
+        let Some(parts) = self.close(query) else { return };
+        let verdict = verdict(parts);
+        *match &verdict {
+            Verdict::Answered { whole: true, .. } => &mut self.counters.answered_whole,
+            Verdict::Answered { whole: false, .. } => &mut self.counters.answered_part,
+            Verdict::Refused { .. } => &mut self.counters.refused,
+            Verdict::Failed => &mut self.counters.failed,
+        } += 1;
+        self.orders.push(Order::Settle { query, verdict });
+    }
+}
--- /dev/null
+++ b/src/routing/counters.rs
@@ -0,0 +1,81 @@
+//! What the broker took in, sent and answered, counted since its start.
+
+use crate::api::Outcome;
+use std::fmt;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident,)*) => {
+        /// Counts since the start, by name.
+        #[derive(Clone, Debug, Default, PartialEq, Eq)]
+        pub struct Counters { $($(#[$doc])* pub $name: u64,)* }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+                let all = [$((stringify!($name), self.$name)),*];
+                for (at, (name, count)) in all.iter().enumerate() {
+                    write!(out, "{}{name}={count}", if at == 0 { "" } else { " " })?;
+                }
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Queries offered by the fronts.
+    taken,
+    /// Requests that no query could be made of.
+    malformed,
+    /// Queries answered whole.
+    answered_whole,
+    /// Queries answered in part.
+    answered_part,
+    /// Queries that the module refused.
+    refused,
+    /// Queries refused because the broker holds as many as it may.
+    refused_full,
+    /// Queries refused because the broker is stopping.
+    refused_stopping,
+    /// Queries failed.
+    failed,
+    /// Queries whose client left first.
+    left,
+    /// Attempts handed to the transport.
+    sent,
+    /// Attempts beyond a part's first, of these.
+    resent,
+    /// Attempts that ended with a value.
+    ended_done,
+    /// Attempts that ended with an error.
+    ended_error,
+    /// Attempts turned away unseen.
+    ended_busy,
+    /// Attempts without an answer in time.
+    ended_timed_out,
+    /// Attempts that found no connection.
+    ended_refused,
+    /// Attempts whose connection broke.
+    ended_reset,
+    /// Attempts called off.
+    ended_cancelled,
+    /// Attempts that were never sent.
+    ended_skipped,
+    /// Lists and changes that discovery told.
+    listings,
+}
+
+impl Counters {
+    /// Counts the end of an attempt.
+    pub fn ended(&mut self, outcome: Outcome) {
+        *match outcome {
+            Outcome::Done => &mut self.ended_done,
+            Outcome::Error => &mut self.ended_error,
+            Outcome::Busy => &mut self.ended_busy,
+            Outcome::TimedOut => &mut self.ended_timed_out,
+            Outcome::Refused => &mut self.ended_refused,
+            Outcome::Reset => &mut self.ended_reset,
+            Outcome::Cancelled => &mut self.ended_cancelled,
+            Outcome::Skipped => &mut self.ended_skipped,
+        } += 1;
+    }
+}
--- /dev/null
+++ b/src/routing/roster.rs
@@ -0,0 +1,77 @@
+//! Servers by name, as discovery tells of them, and the ids under which the module knows them.
+
+use crate::api::*;
+use std::collections::HashMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A server as discovery lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// Its name, the same at every gatherer.
+    pub name: String,
+    /// Where it listens.
+    pub address: String,
+    /// Its zone, by name.
+    pub zone: String,
+    /// Its place in the layout.
+    pub cell: u32,
+    /// Whether it takes work.
+    pub status: Status,
+    /// Its listed size.
+    pub units: f64,
+    /// Its last start in Unix time; `None` for long ago.
+    pub since: Option<Time>,
+}
+
+/// News from discovery: the complete list, or the entries that changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// The list's version.
+    pub revision: u64,
+    /// Whether `members` is the whole list.
+    pub complete: bool,
+    /// The entries.
+    pub members: Vec<Member>,
+}
+
+/// Names to ids. An id is a hash of the name, so that all gatherers prefer the same server for a key.
+#[derive(Debug, Default)]
+pub struct Roster {
+    ids: HashMap<String, LeafId>,
+    names: HashMap<LeafId, String>,
+}
+
+impl Roster {
+    /// The id of this server, made up on first sight. Two names that hash alike take neighbouring ids.
+    pub fn id(&mut self, name: &str) -> LeafId {
+        if let Some(id) = self.ids.get(name) {
+            return *id;
+        }
+        let mut id = LeafId(xxh3_64(name.as_bytes()) as u32);
+        while self.names.contains_key(&id) {
+            id = LeafId(id.0.wrapping_add(1));
+        }
+        self.ids.insert(name.to_owned(), id);
+        self.names.insert(id, name.to_owned());
+        id
+    }
+
+    /// Whether this server was ever listed.
+    pub fn known(&self, name: &str) -> Option<LeafId> {
+        self.ids.get(name).copied()
+    }
+
+    /// All servers ever listed.
+    pub fn all(&self) -> impl Iterator<Item = LeafId> + '_ {
+        self.names.keys().copied()
+    }
+
+    /// Forgets servers that are gone, once there are more names than any fleet has.
+    pub fn forget(&mut self, gone: impl Iterator<Item = LeafId>) {
+        for id in gone {
+            if let Some(name) = self.names.remove(&id) {
+                self.ids.remove(&name);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/client.rs
@@ -0,0 +1,42 @@
+//! One HTTP exchange on a connection of our own.
+
+use super::stream::Stream;
+use crate::protocol::http::{self, Incoming, Malformed};
+use bytes::BytesMut;
+use std::io;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// Why there is no response.
+#[derive(Debug, thiserror::Error)]
+pub enum Broken {
+    /// The connection ended before the request's last byte was written.
+    #[error("not sent: {0}")]
+    Unsent(io::Error),
+    /// It ended after that.
+    #[error("sent, not answered: {0}")]
+    Unanswered(io::Error),
+    /// The response cannot be read.
+    #[error("unreadable response: {0}")]
+    Malformed(#[from] Malformed),
+}
+
+/// Sends a request and reads its response, of at most so many bytes of body.
+pub async fn exchange(
+    stream: &mut dyn Stream,
+    buffer: &mut BytesMut,
+    request: &[u8],
+    most: usize,
+) -> Result<Incoming, Broken> {
+    stream.write_all(request).await.map_err(Broken::Unsent)?;
+    loop {
+        if let Some(response) = http::take_response(buffer, most)? {
+            if response.status >= 200 {
+                return Ok(response);
+            }
+            continue;
+        }
+        if stream.read_buf(buffer).await.map_err(Broken::Unanswered)? == 0 {
+            return Err(Broken::Unanswered(io::ErrorKind::UnexpectedEof.into()));
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,7 @@
+//! Sockets: clients' connections, connections to workers, the discovery watch. Nothing here decides.
+
+pub mod client;
+pub mod listener;
+pub mod stream;
+pub mod watch;
+pub mod workers;
--- /dev/null
+++ b/src/transport/stream.rs
@@ -0,0 +1,42 @@
+//! Connections out, by TCP or by whatever stands in for it.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+
+/// A connection.
+pub trait Stream: AsyncRead + AsyncWrite + Unpin {}
+impl<T: AsyncRead + AsyncWrite + Unpin> Stream for T {}
+
+/// A connection that is about to be up.
+pub type Dialling<'a> = Pin<Box<dyn Future<Output = io::Result<Box<dyn Stream>>> + 'a>>;
+
+/// Opens connections.
+pub trait Dial {
+    /// Opens one to this address.
+    fn dial<'a>(&'a self, address: &'a str) -> Dialling<'a>;
+}
+
+/// TCP.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tcp;
+
+impl Dial for Tcp {
+    fn dial<'a>(&'a self, address: &'a str) -> Dialling<'a> {
+        Box::pin(async move {
+            let stream = TcpStream::connect(address).await?;
+            stream.set_nodelay(true)?;
+            Ok(Box::new(stream) as Box<dyn Stream>)
+        })
+    }
+}
+
+/// Dials, but not for longer than this: a machine that has vanished never answers.
+pub async fn dial_within(dial: &dyn Dial, address: &str, limit: Duration) -> io::Result<Box<dyn Stream>> {
+    tokio::time::timeout(limit, dial.dial(address))
+        .await
+        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
--- /dev/null
+++ b/src/transport/watch.rs
@@ -0,0 +1,61 @@
+//! Follows discovery: the whole list once, then one watch after the other.
+
+use super::client;
+use super::stream::{Dial, dial_within};
+use crate::protocol::{discovery, http};
+use crate::routing::Broker;
+use bytes::BytesMut;
+use std::time::Duration;
+
+/// How long a watch may wait: short, so that a connection that has gone silent is soon replaced.
+const WAIT: Duration = Duration::from_secs(5);
+/// How long past that an answer may take, and how long a connection may take to come up.
+const SLACK: Duration = Duration::from_secs(1);
+/// Pause after a failure: with it a watch still follows the last within discovery's 200 ms.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Tells the broker whatever discovery says, for as long as the process lives. Serving never waits for it.
+pub async fn follow(dial: &dyn Dial, address: &str, broker: &Broker) {
+    let mut revision = None;
+    loop {
+        let error = session(dial, address, broker, &mut revision).await;
+        log::warn!("discovery: {error}; serving goes on with the last list");
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Watches on one connection until that fails.
+async fn session(dial: &dyn Dial, address: &str, broker: &Broker, revision: &mut Option<u64>) -> String {
+    let mut stream = match dial_within(dial, address, SLACK).await {
+        Ok(stream) => stream,
+        Err(error) => return format!("cannot connect: {error}"),
+    };
+    let mut buffer = BytesMut::new();
+    loop {
+        let watch = revision.map(|revision| (revision, WAIT.as_millis() as u64));
+        let request = http::request("GET", &discovery::path(watch), address, None);
+        let exchange = client::exchange(&mut *stream, &mut buffer, &request, 4 * http::MOST_BODY);
+        let response = match tokio::time::timeout(WAIT + SLACK, exchange).await {
+            Ok(Ok(response)) if response.status == 200 => response,
+            Ok(Ok(response)) => return format!("status {}", response.status),
+            Ok(Err(error)) => return error.to_string(),
+            Err(_) => return "silent".to_owned(),
+        };
+        match discovery::listing(&response.body) {
+            Ok(listing) => {
+                if revision.is_none() {
+                    log::info!("discovery: list {} with {} workers", listing.revision, listing.members.len());
+                }
+                // A list without entries says only that the wait is over, unless it is the whole list.
+                if listing.complete || !listing.members.is_empty() {
+                    broker.learn(&listing, false);
+                }
+                *revision = Some(listing.revision);
+            }
+            Err(error) => return format!("unreadable list: {error}"),
+        }
+        if !response.keep_alive {
+            return "closed by the agent".to_owned();
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/workers.rs
@@ -0,0 +1,325 @@
+//! Connections to workers: a few lines to each, many parts on a line, and the exact outcome of every attempt.
+
+use super::stream::{Dial, Stream, dial_within};
+use crate::api::*;
+use crate::protocol::frame::{self, Incoming};
+use crate::routing::{Broker, Carrier, Dispatch, End, Limits, Ticket};
+use bytes::{Buf, Bytes, BytesMut};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Lines to one worker.
+const MOST_LINES: usize = 4;
+/// Share of the worker's idle time after which a line is closed from this side.
+const IDLE_SHARE: f64 = 0.6;
+/// Silence after a written call, ended by its time-out, from which a line counts as dead.
+const SILENT: Duration = Duration::from_secs(1);
+/// Reading takes at most so much at once.
+const READ: usize = 16 * 1024;
+
+/// All connections to workers.
+#[derive(Clone)]
+pub struct Workers(Rc<Shared>);
+
+struct Shared {
+    broker: Broker,
+    dial: Rc<dyn Dial>,
+    limits: Limits,
+    most_lines: usize,
+    fields: Vec<Field>,
+    links: RefCell<HashMap<LeafId, Link>>,
+}
+
+struct Link {
+    name: String,
+    address: String,
+    open: bool,
+    lines: Vec<Rc<Line>>,
+}
+
+/// One connection: what waits to be written, and the parts that are out on it.
+struct Line {
+    address: String,
+    frames: RefCell<VecDeque<Frame>>,
+    calls: RefCell<HashMap<String, Call>>,
+    /// When anything was last read; takes no new calls once it is retired.
+    heard: Cell<Instant>,
+    retired: Cell<bool>,
+    news: Notify,
+}
+
+struct Frame {
+    rest: Bytes,
+    begun: bool,
+    /// The parts that it carries; none for giving one up.
+    ids: Vec<String>,
+}
+
+struct Call {
+    ticket: Ticket,
+    written: Option<Instant>,
+}
+
+impl Line {
+    fn new(address: &str) -> Line {
+        Line {
+            address: address.to_owned(),
+            frames: RefCell::default(),
+            calls: RefCell::default(),
+            heard: Cell::new(Instant::now()),
+            retired: Cell::new(false),
+            news: Notify::new(),
+        }
+    }
+
+    fn room(&self, parts: usize, most: usize) -> bool {
+        !self.retired.get() && self.calls.borrow().len() + parts <= most
+    }
+
+    fn push(&self, parts: &[Dispatch]) {
+        let mut calls = self.calls.borrow_mut();
+        let mut ids = Vec::with_capacity(parts.len());
+        for part in parts {
+            let id = frame::part_id(&part.label, part.shard.0);
+            calls.insert(id.clone(), Call { ticket: part.ticket, written: None });
+            ids.push(id);
+        }
+        self.frames.borrow_mut().push_back(Frame { rest: frame::call(parts), begun: false, ids });
+        self.news.notify_one();
+    }
+
+    /// What is to be written next.
+    fn front(&self) -> Option<Bytes> {
+        self.frames.borrow().front().map(|frame| frame.rest.clone())
+    }
+
+    /// Books that so many bytes of the front frame are written.
+    fn wrote(&self, count: usize) {
+        let mut frames = self.frames.borrow_mut();
+        let Some(frame) = frames.front_mut() else { return };
+        frame.rest.advance(count);
+        frame.begun |= count > 0;
+        if frame.rest.is_empty()
+            && let Some(frame) = frames.pop_front()
+        {
+            let mut calls = self.calls.borrow_mut();
+            for id in frame.ids {
+                if let Some(call) = calls.get_mut(&id) {
+                    call.written = Some(Instant::now());
+                }
+            }
+        }
+    }
+
+    /// Lets go of an attempt; false if it is not on this line. A call of which no byte is written stays here,
+    /// of another the worker is told.
+    fn abandon(&self, ticket: Ticket) -> bool {
+        let mut calls = self.calls.borrow_mut();
+        let id = calls.iter().find(|(_, call)| call.ticket == ticket).map(|(id, _)| id.clone());
+        let Some(id) = id else { return false };
+        let call = calls.remove(&id);
+        let mut frames = self.frames.borrow_mut();
+        // A call of several parts is dropped when nobody waits for any of them.
+        let unsent = |frame: &Frame| !frame.begun && frame.ids.contains(&id);
+        let gone = |frame: &Frame| unsent(frame) && !frame.ids.iter().any(|id| calls.contains_key(id));
+        let before = frames.len();
+        frames.retain(|frame| !gone(frame));
+        if frames.len() == before {
+            frames.push_back(Frame { rest: frame::give_up(&id), begun: false, ids: Vec::new() });
+        }
+        // Guards against machines that vanished: their connections stay open, and swallow what is written.
+        let written = call.and_then(|call| call.written);
+        if written.is_some_and(|at| self.heard.get() < at && at.elapsed() >= SILENT) {
+            self.retired.set(true);
+        }
+        self.news.notify_one();
+        true
+    }
+
+    /// Takes back the calls of which no byte has been written.
+    fn unsent(&self) -> Vec<Ticket> {
+        let mut calls = self.calls.borrow_mut();
+        let mut tickets = Vec::new();
+        self.frames.borrow_mut().retain(|frame| {
+            if frame.begun || frame.ids.is_empty() {
+                return true;
+            }
+            tickets.extend(frame.ids.iter().filter_map(|id| calls.remove(id)).map(|call| call.ticket));
+            false
+        });
+        tickets
+    }
+
+    fn quiet(&self) -> bool {
+        self.calls.borrow().is_empty() && self.frames.borrow().is_empty()
+    }
+}
+
+impl Workers {
+    /// No connections yet; they are opened as calls need them, so many at most.
+    pub fn new(broker: Broker, dial: Rc<dyn Dial>, most_lines: usize) -> Workers {
+        let (limits, fields) =
+            broker.core(|core| (core.contracts().limits.clone(), core.contracts().settings.fields.clone()));
+        Workers(Rc::new(Shared { broker, dial, limits, most_lines, fields, links: RefCell::default() }))
+    }
+
+    fn end_all(&self, tickets: Vec<Ticket>, outcome: Outcome) {
+        tickets.into_iter().for_each(|ticket| self.0.broker.ended(ticket, End::bare(outcome)));
+    }
+
+    /// Takes back what waits to be sent to a worker that is to get nothing new.
+    fn stop(&self, link: &mut Link) -> Vec<Ticket> {
+        link.open = false;
+        link.lines.iter().flat_map(|line| line.unsent()).collect()
+    }
+
+    /// The line for a call: one with room, else a new one, else the one with least to do.
+    fn line(&self, leaf: LeafId, parts: usize) -> Option<Rc<Line>> {
+        let mut links = self.0.links.borrow_mut();
+        let in_all: usize = links.values().map(|link| link.lines.len()).sum();
+        let link = links.get_mut(&leaf).filter(|link| link.open)?;
+        if let Some(line) = link.lines.iter().find(|line| line.room(parts, self.0.limits.multiplex)) {
+            return Some(line.clone());
+        }
+        let live = link.lines.iter().filter(|line| !line.retired.get());
+        if live.clone().count() < MOST_LINES && in_all < self.0.most_lines {
+            let line = Rc::new(Line::new(&link.address));
+            link.lines.push(line.clone());
+            tokio::task::spawn_local(self.clone().run(leaf, line.clone()));
+            return Some(line);
+        }
+        live.min_by_key(|line| line.calls.borrow().len()).cloned()
+    }
+
+    /// The life of one line.
+    async fn run(self, leaf: LeafId, line: Rc<Line>) {
+        let why = match dial_within(&*self.0.dial, &line.address, self.0.limits.connect_timeout).await {
+            Ok(stream) => self.serve(stream, &line).await,
+            Err(error) => format!("cannot connect: {error}"),
+        };
+        line.retired.set(true);
+        if let Some(link) = self.0.links.borrow_mut().get_mut(&leaf) {
+            link.lines.retain(|other| !Rc::ptr_eq(other, &line));
+            if !line.quiet() {
+                log::warn!("worker {} at {}: {why}", link.name, line.address);
+            }
+        }
+        // After a frame's last byte its parts may have run; before that none can have.
+        let calls = line.calls.take();
+        for call in calls.into_values() {
+            let outcome = if call.written.is_some() { Outcome::Reset } else { Outcome::Refused };
+            self.0.broker.ended(call.ticket, End::bare(outcome));
+        }
+    }
+
+    /// Writes frames and reads answers until the connection ends; says why it did.
+    async fn serve(&self, stream: Box<dyn Stream>, line: &Line) -> String {
+        let (mut read, mut write) = tokio::io::split(stream);
+        let mut buffer = BytesMut::new();
+        let idle = self.0.limits.conn_idle.mul_f64(IDLE_SHARE);
+        let mut used = Instant::now();
+        loop {
+            if line.quiet() && line.retired.get() {
+                return "retired".to_owned();
+            }
+            let front = line.front();
+            buffer.reserve(READ.saturating_sub(buffer.len()).max(1024));
+            tokio::select! {
+                biased;
+                count = read.read_buf(&mut buffer) => match count {
+                    Ok(0) => return "closed by the worker".to_owned(),
+                    Ok(_) => {
+                        line.heard.set(Instant::now());
+                        if let Err(error) = self.answers(&mut buffer, line) {
+                            return error;
+                        }
+                    }
+                    Err(error) => return error.to_string(),
+                },
+                count = write.write(front.as_deref().unwrap_or_default()), if front.is_some() => match count {
+                    Ok(0) => return "closed by the worker".to_owned(),
+                    Ok(count) => line.wrote(count),
+                    Err(error) => return error.to_string(),
+                },
+                () = line.news.notified() => {}
+                () = tokio::time::sleep_until(used + idle), if line.quiet() => return "idle".to_owned(),
+            }
+            if !line.quiet() {
+                used = Instant::now();
+            }
+        }
+    }
+
+    /// Books every answer that is whole in the buffer.
+    fn answers(&self, buffer: &mut BytesMut, line: &Line) -> Result<(), String> {
+        loop {
+            match frame::take(buffer, &self.0.fields) {
+                Ok(Some(Incoming::Answer { id, outcome, value, report })) => {
+                    // Unknown ids are late answers to parts that were given up.
+                    let call = line.calls.borrow_mut().remove(&id);
+                    if let Some(call) = call {
+                        self.0.broker.ended(call.ticket, End { outcome, value, report });
+                    }
+                }
+                Ok(Some(Incoming::Rejected(words))) => return Err(format!("a frame was refused: {words:?}")),
+                Ok(None) => return Ok(()),
+                Err(error) => return Err(error.to_string()),
+            }
+        }
+    }
+}
+
+impl Carrier for Workers {
+    fn member(&self, leaf: LeafId, name: &str, address: &str, open: bool) {
+        let mut links = self.0.links.borrow_mut();
+        let link = links.entry(leaf).or_insert_with(|| Link {
+            name: name.to_owned(),
+            address: address.to_owned(),
+            open,
+            lines: Vec::new(),
+        });
+        let back = if open { Vec::new() } else { self.stop(link) };
+        link.open = open;
+        if link.address != address {
+            link.address = address.to_owned();
+            link.lines.iter().for_each(|line| line.retired.set(true));
+        }
+        drop(links);
+        self.end_all(back, Outcome::Skipped);
+    }
+
+    fn gone(&self, leaf: LeafId) {
+        let mut links = self.0.links.borrow_mut();
+        let Some(mut link) = links.remove(&leaf) else { return };
+        let back = self.stop(&mut link);
+        for line in &link.lines {
+            line.retired.set(true);
+            line.news.notify_one();
+        }
+        if !link.lines.is_empty() {
+            // Its lines still bring what was out on them.
+            links.insert(leaf, link);
+        }
+        drop(links);
+        self.end_all(back, Outcome::Skipped);
+    }
+
+    fn call(&self, leaf: LeafId, parts: Vec<Dispatch>) {
+        match self.line(leaf, parts.len()) {
+            Some(line) => line.push(&parts),
+            None => self.end_all(parts.iter().map(|part| part.ticket).collect(), Outcome::Skipped),
+        }
+    }
+
+    fn abandon(&self, leaf: LeafId, ticket: Ticket) {
+        let links = self.0.links.borrow();
+        if let Some(link) = links.get(&leaf) {
+            link.lines.iter().any(|line| line.abandon(ticket));
+        }
+    }
+}
