End a query at once when a part of it can no longer be served

Seen in a scenario on pipes: after a reset, a query of a class that runs once was held for 2.5 s, until its aim, though its part may never be sent again. Cause: Aggregator::ending looked at the clock alone. Now a part that has none out and may not follow (effect, attempts) takes its share away, and the query ends when the rest is not enough. The check on effect and attempts moves out of guard into may_follow, so that both use one.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,7 +2,7 @@
 //! the fields of what it remembers in `src/state.rs`.
 //!
 //! Order: constants, state, the turn, then membership, reports and multipliers, replica choice, admission and
-//! refusal, attempts, health, ending a query. `docs/design.md` gives the reasons at length.
+//! refusal, attempts, health, ending a query. `README.md` tells how the module sits in the program.
 
 use crate::api::*;
 use crate::state::{Attempt, Leaf, Part, Query};
@@ -550,27 +550,30 @@
 
     // ---- Attempts: time-outs, retries, hedges, budget ----
 
-    /// Every guard on sending a part to a leaf.
-    fn guard(&self, part: &Part, leaf: &Leaf) -> bool {
-        let further = !part.attempts.is_empty();
-        let tried = part.attempts.len() as u32;
+    /// Whether its class and the limit on attempts let a part be sent (again) at all.
+    fn may_follow(&self, part: &Part) -> bool {
         let Some(class) = self.class(part.class) else { return false };
-        let out = part.attempts.iter().any(|attempt| attempt.out());
-        let risk = |attempt: &&Attempt| attempt.may_have_run();
-        let first_risk = part.attempts.iter().find(risk).map(|attempt| attempt.sent);
+        let first_risk =
+            part.attempts.iter().find(|attempt| attempt.may_have_run()).map(|attempt| attempt.sent);
         let effect = match (class.effect, first_risk) {
             (Effect::Repeatable, _) | (_, None) => true,
             (Effect::ByKey, Some(at)) => self.now.since(at) < class.window,
             (Effect::Once, Some(_)) => false,
         };
+        effect && self.settings.most_attempts.is_none_or(|most| (part.attempts.len() as u32) < most)
+    }
+
+    /// Every guard on sending a part to a leaf.
+    fn guard(&self, part: &Part, leaf: &Leaf) -> bool {
+        let further = !part.attempts.is_empty();
+        let out = part.attempts.iter().any(|attempt| attempt.out());
         let drained = leaf.entry.status != Status::Active;
         !part.done
             && !part.over
             && !drained
-            && effect
+            && self.may_follow(part)
             && (!out || self.settings.second_copies)
             && (!further || self.budget_allows(self.doubles(part)))
-            && self.settings.most_attempts.is_none_or(|most| tried < most)
             && self.cold_allows(leaf, part.work + leaf.opens(&self.settings))
     }
 
@@ -832,7 +835,12 @@
         // Guards against requests that bring down whoever begins them: no part may break a third connection.
         let broke = |attempt: &&Attempt| attempt.outcome == Some(Outcome::Reset);
         let breaks = |part: &&Part| part.attempts.iter().filter(broke).count() > 1;
-        (over || hopeless || parts.iter().any(breaks)).then_some(abandon)
+        // Guards against holding a lost query back: a part with none out and none to follow is lost.
+        let is_out = |part: &Part| part.attempts.iter().any(|attempt| attempt.out());
+        let dead = |part: &&&Part| !part.done && !is_out(part) && !self.may_follow(part);
+        let dead: f64 = parts.iter().filter(dead).map(|part| part.asked.weight).sum();
+        let lost = dead > EPSILON && 1.0 - dead < class.min_share - EPSILON;
+        (over || hopeless || lost || parts.iter().any(breaks)).then_some(abandon)
     }
 
     /// The one place that ends queries.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -442,3 +442,16 @@
     }
     assert!(moved);
 }
+
+#[test]
+fn a_query_that_cannot_be_served_any_more_ends_at_once() {
+    // Such a query was held until its aim: its client waited for nothing, its other parts went on working.
+    let mut root = Root::new(Settings { classes: vec![class(Effect::Once)], ..settings() }, &[1, 2, 3]);
+    let (query, _) = root.ask(Some("k"), &[0, 1]);
+    let first = root.sent[0];
+    root.turn(vec![root.end(first, Outcome::Reset, None)]);
+    assert!(root.actions.contains(&Action::Fail { id: query }), "{:?}", root.actions);
+    // The other part is called off, and nothing is sent again.
+    assert!(root.actions.iter().any(|action| matches!(action, Action::Cancel { .. })));
+    assert_eq!(root.sent.len(), 2);
+}
