Add the OpenSearch-style front and a scenario language that plays both fronts

The front (src/program/opensearch.rs) asks the same broker: each shard of an index is a part, index servers speak the same form. A class that runs once demands a key that this start issued; a repeat joins the run or gets what is on record, and an unknown key runs nothing. A scroll holds the merged result under a total order, bounded and expiring. One test starts the program itself on loopback sockets.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,22 +1,33 @@
-//! The real gatherer: see README.md for how it is started.
+//! The real gatherer: `clayshore` serves the platform, `clayshore FILE` the OpenSearch-style front of that file.
 
-use clayshore::program::{config::Config, log, run};
+use clayshore::program::config::{Config, Error};
+use clayshore::program::opensearch_file::FrontFile;
+use clayshore::program::{log, run};
 use std::process::ExitCode;
 
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error(transparent)]
+    Configuration(#[from] Error),
+    #[error(transparent)]
+    Serving(#[from] std::io::Error),
+}
+
 fn main() -> ExitCode {
     log::install(::log::LevelFilter::Info);
-    let config = match Config::from_platform(|name| std::env::var(name).ok()) {
-        Ok(config) => config,
-        Err(error) => {
-            ::log::error!("{error}");
-            return ExitCode::from(2);
-        }
-    };
-    match run::platform(config) {
+    match start() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            ::log::error!("{error}");
-            ExitCode::FAILURE
+        Err(failure) => {
+            ::log::error!("{failure}");
+            ExitCode::from(if matches!(failure, Failure::Configuration(_)) { 2 } else { 1 })
         }
     }
 }
+
+fn start() -> Result<(), Failure> {
+    if let Some(path) = std::env::args().nth(1) {
+        let seed = fastrand::u64(..);
+        return Ok(run::opensearch(FrontFile::read(&path, seed)?, seed)?);
+    }
+    Ok(run::platform(Config::from_platform(|name| std::env::var(name).ok())?)?)
+}
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod config;
 pub mod log;
+pub mod opensearch;
+pub mod opensearch_file;
 pub mod platform;
 pub mod run;
 pub mod settings;
--- /dev/null
+++ b/src/program/opensearch.rs
@@ -0,0 +1,343 @@
+//! The OpenSearch-style front: searches, pages of held results, and keys for searches that must not run twice.
+
+use crate::api::*;
+use crate::protocol::http::{Malformed, Request, Response};
+use crate::protocol::opensearch::{self, Fault, Merged, Search};
+use crate::routing::held::Held;
+use crate::routing::ledger::{Bounds, Claim, Ledger};
+use crate::routing::{Ask, AskPart, Broker, Clock, Refusal, Verdict};
+use crate::transport::listener::{Front, Gate, Phase};
+use bytes::Bytes;
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Where keys are issued.
+const KEYS: &str = "/_clayshore/idempotency_keys";
+/// How many keys are held, for how long, and how many bytes of outcomes.
+const BOUNDS: Bounds = Bounds { keys: 4096, bytes: 16 << 20, retention: Duration::from_secs(600) };
+/// How many results are held for further pages, of how many bytes in all, and for how long at most.
+const MOST_HELD: usize = 256;
+const MOST_HELD_BYTES: usize = 32 << 20;
+const LONGEST_HELD: Duration = Duration::from_secs(300);
+/// When to come back where something is full.
+const FULL_PAUSE: Duration = Duration::from_secs(1);
+
+/// What the front's file says, beside the contracts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Names {
+    /// Class of each index.
+    pub indexes: HashMap<String, ClassId>,
+    /// Tenant of each caller.
+    pub callers: HashMap<String, TenantId>,
+    /// Most hits that a shard is asked for.
+    pub window: usize,
+}
+
+/// A result that is held for its further pages.
+struct Scroll {
+    merged: Merged,
+    size: usize,
+    shards: usize,
+}
+
+/// Serves the OpenSearch-style form.
+pub struct OpenSearch {
+    broker: Broker,
+    clock: Clock,
+    gate: Rc<Gate>,
+    names: Names,
+    ledger: RefCell<Ledger<Response>>,
+    held: RefCell<Held<Scroll>>,
+}
+
+/// A search that has been checked: what the broker is asked, and what becomes of the answer.
+struct Checked {
+    search: Search,
+    ask: Ask,
+    owner: String,
+    once: bool,
+    digest: u64,
+}
+
+impl OpenSearch {
+    /// A front for these names. `start` names this start of this gatherer, and no other.
+    pub fn new(
+        broker: Broker,
+        clock: Clock,
+        gate: Rc<Gate>,
+        names: Names,
+        start: String,
+        seed: u64,
+    ) -> Rc<Self> {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let held = RefCell::new(Held::new(random.fork(), MOST_HELD, MOST_HELD_BYTES));
+        let ledger = RefCell::new(Ledger::new(start, random, BOUNDS));
+        Rc::new(OpenSearch { broker, clock, gate, names, ledger, held })
+    }
+
+    async fn search(self: &Rc<Self>, index: &str, request: &Request) -> Result<Response, Fault> {
+        let checked = self.check(index, request)?;
+        if self.gate.phase() != Phase::Serving {
+            self.broker.core(|core| core.counters.refused_stopping += 1);
+            return Ok(opensearch::refused(Refusal::Stopping, None));
+        }
+        if checked.once {
+            return self.search_once(checked, request.headers.get("Idempotency-Key")).await;
+        }
+        Ok(self.run(checked).await.0)
+    }
+
+    /// Guards against a client's own retry: one key runs one search, whoever asks how often.
+    async fn search_once(self: &Rc<Self>, checked: Checked, key: Option<&str>) -> Result<Response, Fault> {
+        let key = key.ok_or_else(|| {
+            Fault::illegal(format!(
+                "[Idempotency-Key] is missing: this index runs a search once; POST {KEYS} for a key"
+            ))
+        })?;
+        let claim = self.ledger.borrow_mut().claim(self.clock.now(), key, &checked.owner, checked.digest);
+        let mut told = match claim {
+            Claim::Run => {
+                // It runs on its own, so that a client that leaves and comes back still finds its outcome.
+                let Claim::Join(told) =
+                    self.ledger.borrow_mut().claim(self.clock.now(), key, &checked.owner, checked.digest)
+                else {
+                    return Err(Fault::new(500, "illegal_state_exception", "the key was lost"));
+                };
+                let (front, key) = (self.clone(), key.to_owned());
+                spawn_local(async move {
+                    let (response, ran) = front.run(checked).await;
+                    let size = response.body.len();
+                    front.ledger.borrow_mut().finish(front.clock.now(), &key, response, size, ran);
+                });
+                told
+            }
+            Claim::Join(told) => told,
+            Claim::Recorded(response) => return Ok(response),
+            Claim::Mismatch => {
+                return Err(Fault::new(
+                    422,
+                    "illegal_argument_exception",
+                    "the key belongs to another search",
+                ));
+            }
+            Claim::Unknown => {
+                let start = self.ledger.borrow().start().to_owned();
+                let whose = if key.starts_with(&start) { "no longer holds" } else { "never issued" };
+                let reason = format!(
+                    "start [{start}] of this gatherer {whose} this key: whether its search ran is unknown, and it is not run now"
+                );
+                return Err(Fault::new(409, "unknown_outcome_exception", reason));
+            }
+        };
+        let lost = || Fault::new(500, "illegal_state_exception", "the search ended without an outcome");
+        let outcome = told.wait_for(Option::is_some).await.map_err(|_| lost())?;
+        outcome.clone().ok_or_else(lost)
+    }
+
+    /// Asks the broker and makes the response of its verdict; whether anything may have run.
+    async fn run(&self, checked: Checked) -> (Response, bool) {
+        let Checked { search, ask, owner, .. } = checked;
+        let (shards, from) = (ask.parts.len(), self.clock.now());
+        match self.broker.ask(ask).await {
+            Verdict::Refused { why, pause } => (opensearch::refused(why, pause), false),
+            Verdict::Failed => {
+                let reason = "not served; it may have run in part";
+                (Fault::new(500, "search_phase_execution_exception", reason).response(), true)
+            }
+            Verdict::Answered { values, .. } => {
+                let merged =
+                    opensearch::merge(&search, values.iter().map(|(shard, value)| (shard.0, &**value)));
+                let took = self.clock.now().since(from);
+                let page = self.first_page(search, merged, &owner, took, shards, values.len());
+                (page.unwrap_or_else(|fault| fault.response()), true)
+            }
+        }
+    }
+
+    fn first_page(
+        &self,
+        search: Search,
+        merged: Merged,
+        owner: &str,
+        took: Duration,
+        shards: usize,
+        served: usize,
+    ) -> Result<Response, Fault> {
+        let end = merged.hits.len().min(search.from + search.size);
+        let mut page = merged.page(&merged.hits[search.from.min(end)..end], took, shards, served);
+        if let Some(keep) = search.scroll {
+            if !merged.complete || served < shards {
+                return Err(Fault::illegal(format!(
+                    "a shard has more than [{}] hits, too many to be held for paging: narrow the search",
+                    self.names.window
+                )));
+            }
+            let bytes = merged.hits.iter().map(|hit| hit.to_string().len()).sum::<usize>() * 2;
+            let scroll = Scroll { merged, size: search.size, shards };
+            let held =
+                self.held.borrow_mut().hold(self.clock.now(), owner, keep.min(LONGEST_HELD), scroll, bytes);
+            let name =
+                held.map_err(|full| Fault::new(429, "rejected_execution_exception", full.to_string()))?;
+            page["_scroll_id"] = json!(format!("{name}-{end}"));
+        }
+        Ok(Response::json(200, page.to_string()))
+    }
+
+    /// A further page. Its id names the place where it begins, so that asking again brings the same page.
+    fn scroll(&self, request: &Request) -> Result<Response, Fault> {
+        let (owner, _) = self.caller(request)?;
+        let body: Value =
+            serde_json::from_slice(&request.body).map_err(|error| Fault::parsing(error.to_string()))?;
+        let id = body
+            .get("scroll_id")
+            .and_then(Value::as_str)
+            .ok_or_else(|| Fault::illegal("scroll_id is missing"))?;
+        let keep = match body.get("scroll").map(|text| text.as_str().and_then(opensearch::time)) {
+            Some(None) => return Err(Fault::illegal("failed to parse [scroll]")),
+            Some(Some(keep)) => Some(keep.min(LONGEST_HELD)),
+            None => None,
+        };
+        let missing = || {
+            Fault::new(
+                404,
+                "search_context_missing_exception",
+                format!("no search context found for id [{id}]"),
+            )
+        };
+        let (name, at) = id.rsplit_once('-').ok_or_else(missing)?;
+        let at: usize = at.parse().map_err(|_| missing())?;
+        let now = self.clock.now();
+        let scroll = self.held.borrow_mut().get(now, name, &owner, keep).ok_or_else(missing)?;
+        let hits = &scroll.merged.hits;
+        let end = at.saturating_add(scroll.size).min(hits.len());
+        let page = hits.get(at..end).ok_or_else(missing)?;
+        let mut page = scroll.merged.page(page, Duration::ZERO, scroll.shards, scroll.shards);
+        page["_scroll_id"] = json!(format!("{name}-{end}"));
+        Ok(Response::json(200, page.to_string()))
+    }
+
+    fn clear_scroll(&self, request: &Request) -> Result<Response, Fault> {
+        let (owner, _) = self.caller(request)?;
+        let body: Value =
+            serde_json::from_slice(&request.body).map_err(|error| Fault::parsing(error.to_string()))?;
+        let ids = match body.get("scroll_id") {
+            Some(Value::String(id)) => vec![id.as_str()],
+            Some(Value::Array(ids)) => ids.iter().filter_map(Value::as_str).collect(),
+            _ => return Err(Fault::illegal("scroll_id is missing")),
+        };
+        let now = self.clock.now();
+        let names = ids.iter().map(|id| id.rsplit_once('-').map_or(*id, |id| id.0));
+        let freed = names.filter(|name| self.held.borrow_mut().release(now, name, &owner)).count();
+        let status = if freed > 0 { 200 } else { 404 };
+        Ok(Response::json(status, json!({"succeeded": true, "num_freed": freed}).to_string()))
+    }
+
+    fn issue_key(&self, request: &Request) -> Result<Response, Fault> {
+        let (owner, _) = self.caller(request)?;
+        match self.ledger.borrow_mut().issue(self.clock.now(), &owner) {
+            Ok(key) => {
+                let ms = BOUNDS.retention.as_millis() as u64;
+                Ok(Response::json(200, json!({"key": key, "expires_in_ms": ms}).to_string()))
+            }
+            Err(full) => {
+                let fault = Fault::new(429, "rejected_execution_exception", full.to_string());
+                Ok(fault.response().with("Retry-After", FULL_PAUSE.as_secs().to_string()))
+            }
+        }
+    }
+
+    fn caller(&self, request: &Request) -> Result<(String, Option<TenantId>), Fault> {
+        let forbidden = |reason: &str| Fault::new(403, "security_exception", reason);
+        match request.headers.get("X-Opaque-Id") {
+            caller if self.names.callers.is_empty() => Ok((caller.unwrap_or_default().to_owned(), None)),
+            None => Err(forbidden("X-Opaque-Id is missing: it names the caller")),
+            Some(caller) => match self.names.callers.get(caller) {
+                Some(tenant) => Ok((caller.to_owned(), Some(*tenant))),
+                None => Err(forbidden(&format!("no caller [{caller}]"))),
+            },
+        }
+    }
+
+    fn check(&self, index: &str, request: &Request) -> Result<Checked, Fault> {
+        let class = self.names.indexes.get(index).copied();
+        let class = class.ok_or_else(|| {
+            Fault::new(404, "index_not_found_exception", format!("no such index [{index}]"))
+        })?;
+        let (owner, tenant) = self.caller(request)?;
+        let search = Search::read(request, self.names.window)?;
+        let text = search.forwarded();
+        let digest = xxh3_64(
+            format!("{index}?{}\n{}", request.query, String::from_utf8_lossy(&request.body)).as_bytes(),
+        );
+        let subject = xxh3_64(&text);
+        let (shards, contract) = self.broker.core(|core| {
+            let settings = &core.contracts().settings;
+            (settings.shards, settings.classes.get(class.0).cloned())
+        });
+        let contract =
+            contract.ok_or_else(|| Fault::new(500, "illegal_state_exception", "the class is lost"))?;
+        let parts = (0..shards).map(|shard| AskPart {
+            shard: ShardId(shard),
+            weight: 1.0 / f64::from(shards),
+            hint: None,
+            key: Some(Arc::from(format!("{subject:016x}.{shard}"))),
+        });
+        let ask = Ask {
+            label: Arc::from(index),
+            class,
+            tenant,
+            left: search.timeout.map_or(contract.deadline, |timeout| timeout.min(contract.deadline)),
+            retry: false,
+            text: Bytes::from(text),
+            parts: parts.collect(),
+        };
+        Ok(Checked { search, ask, owner, once: contract.effect != Effect::Repeatable, digest })
+    }
+
+    async fn route(self: &Rc<Self>, request: &Request) -> Result<Response, Fault> {
+        let path = request.path.trim_start_matches('/');
+        match (request.method.as_str(), path.split_once('/').unwrap_or((path, ""))) {
+            ("GET", ("_health", "")) => Ok(self.health()),
+            ("GET", ("_counters", "")) => {
+                Ok(Response::text(200, self.broker.core(|core| core.counters.to_string())))
+            }
+            ("POST", ("_clayshore", "idempotency_keys")) => self.issue_key(request),
+            ("POST" | "GET", ("_search", "scroll")) => self.scroll(request),
+            ("DELETE", ("_search", "scroll")) => self.clear_scroll(request),
+            ("POST" | "GET", (index, "_search")) => self.search(index, request).await,
+            (method, (_, "_search" | "scroll" | "idempotency_keys")) => Err(Fault::new(
+                405,
+                "method_not_allowed_exception",
+                format!("incorrect HTTP method for uri [{}]: [{method}]", request.path),
+            )),
+            _ => Err(Fault::illegal(format!("no handler found for uri [{}]", request.path))),
+        }
+    }
+
+    fn health(&self) -> Response {
+        match self.gate.phase() {
+            Phase::Serving => Response::text(200, "serving"),
+            Phase::Stopping | Phase::Closing => Response::text(503, "stopping"),
+        }
+    }
+}
+
+impl Front for Rc<OpenSearch> {
+    async fn respond(&self, request: Request) -> Response {
+        self.route(&request).await.unwrap_or_else(|fault| {
+            self.broker.core(|core| core.counters.malformed += 1);
+            fault.response()
+        })
+    }
+
+    fn malformed(&self, error: Malformed) -> Response {
+        self.broker.core(|core| core.counters.malformed += 1);
+        Fault::new(error.status(), "parsing_exception", error.to_string()).response()
+    }
+}
--- /dev/null
+++ b/src/program/opensearch_file.rs
@@ -0,0 +1,264 @@
+//! The file of the OpenSearch-style front, read and checked here.
+
+use super::config::Error;
+use super::opensearch::Names;
+use super::settings::Faulty;
+use crate::api::*;
+use crate::routing::{Contracts, Limits, Listing, Member};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    listen: String,
+    zone: String,
+    #[serde(default = "gatherers")]
+    gatherers: u32,
+    layout: Layout,
+    #[serde(default)]
+    limits: FileLimits,
+    class: Vec<FileClass>,
+    #[serde(default)]
+    tenant: Vec<FileTenant>,
+    #[serde(default)]
+    caller: Vec<Caller>,
+    index: Vec<Index>,
+    server: Vec<Server>,
+}
+
+fn gatherers() -> u32 {
+    1
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Layout {
+    shards: u32,
+    cells: u32,
+    span: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct FileLimits {
+    max_open: usize,
+    window: usize,
+    connect_timeout_ms: u64,
+    idle_ms: u64,
+    searches_per_server: usize,
+    attempts: u32,
+    longest_pause_ms: u64,
+}
+
+impl Default for FileLimits {
+    fn default() -> Self {
+        FileLimits {
+            max_open: 64,
+            window: 1000,
+            connect_timeout_ms: 250,
+            idle_ms: 15_000,
+            searches_per_server: 16,
+            attempts: 4,
+            longest_pause_ms: 1000,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileClass {
+    name: String,
+    wanted_ms: u64,
+    deadline_ms: u64,
+    effect: FileEffect,
+    #[serde(default = "whole")]
+    floor: f64,
+    #[serde(default = "whole")]
+    worth: f64,
+    #[serde(default)]
+    late_worth: f64,
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum FileEffect {
+    Repeatable,
+    Once,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileTenant {
+    name: String,
+    quota_per_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Caller {
+    id: String,
+    tenant: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Index {
+    name: String,
+    class: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Server {
+    name: String,
+    address: String,
+    zone: String,
+    cell: u32,
+}
+
+/// What the file makes.
+#[derive(Debug)]
+pub struct FrontFile {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Contracts, budgets and limits.
+    pub contracts: Contracts,
+    /// Indexes and callers.
+    pub names: Names,
+    /// The index servers.
+    pub servers: Listing,
+}
+
+impl FrontFile {
+    /// Reads a file.
+    pub fn read(path: &str, seed: u64) -> Result<FrontFile, Error> {
+        let text =
+            std::fs::read_to_string(path).map_err(|error| Error::File { path: path.to_owned(), error })?;
+        FrontFile::parse(&text, seed).map_err(|error| Error::Form { path: path.to_owned(), error })
+    }
+
+    /// Reads the text of a file.
+    pub fn parse(text: &str, seed: u64) -> Result<FrontFile, String> {
+        let file: File = toml::from_str(text).map_err(|error| error.to_string())?;
+        file.check(seed).map_err(|fault| fault.to_string())
+    }
+}
+
+impl File {
+    fn check(self, seed: u64) -> Result<FrontFile, Faulty> {
+        let listen = self.listen.parse::<SocketAddr>();
+        let listen = listen.map_err(|_| Faulty::new("listen", format!("no address {:?}", self.listen)))?;
+        let Layout { shards, cells, span } = self.layout;
+        if shards == 0 || cells == 0 || !(1..=cells).contains(&span) {
+            return Err(Faulty::new("layout", "shards and cells are 1 at least, span is 1 to cells"));
+        }
+        let FileLimits { max_open, window, searches_per_server, attempts, .. } = self.limits;
+        if window == 0 || searches_per_server == 0 || attempts == 0 || max_open <= shards as usize {
+            return Err(Faulty::new("limits", "1 at least; max_open over layout.shards"));
+        }
+        let mut classes = Vec::new();
+        for (at, class) in self.class.iter().enumerate() {
+            let key = |name: &str| format!("class.{at}.{name}");
+            if class.wanted_ms == 0 || class.wanted_ms > class.deadline_ms {
+                return Err(Faulty::new(&key("wanted_ms"), "1 at least, and not past deadline_ms"));
+            }
+            if !(class.floor > 0.0 && class.floor <= 1.0) {
+                return Err(Faulty::new(&key("floor"), "a share over 0 and up to 1"));
+            }
+            classes.push(Class {
+                aim: Duration::from_millis(class.wanted_ms),
+                aim_stretch: 0.0,
+                deadline: Duration::from_millis(class.deadline_ms),
+                effect: match class.effect {
+                    FileEffect::Repeatable => Effect::Repeatable,
+                    FileEffect::Once => Effect::Once,
+                },
+                window: Duration::ZERO,
+                worth: class.worth,
+                late_worth: class.late_worth,
+                min_share: class.floor,
+                whole_at: 1.0,
+                short_worth: 1.0,
+                follow_up: 0,
+            });
+        }
+        let mut zones = vec![self.zone];
+        let mut members = Vec::new();
+        for (at, server) in self.server.into_iter().enumerate() {
+            if server.cell >= cells {
+                return Err(Faulty::new(&format!("server.{at}.cell"), format!("there are {cells}")));
+            }
+            if !zones.contains(&server.zone) {
+                zones.push(server.zone.clone());
+            }
+            members.push(Member {
+                name: server.name,
+                address: server.address,
+                zone: server.zone,
+                cell: server.cell,
+                status: Status::Active,
+                units: 1.0,
+                since: None,
+            });
+        }
+        let contracts = Contracts {
+            settings: Settings {
+                seed,
+                roots: self.gatherers.max(1),
+                zone: ZoneId(0),
+                classes,
+                tenants: self
+                    .tenant
+                    .iter()
+                    .map(|tenant| Tenant { quota_per_s: tenant.quota_per_s })
+                    .collect(),
+                quantum: Duration::from_millis(5),
+                may_cancel: true,
+                second_copies: true,
+                most_attempts: Some(attempts),
+                longest_pause: Some(Duration::from_millis(self.limits.longest_pause_ms)),
+                cells,
+                span,
+                shards,
+                per_call: 1,
+                warm_keys: true,
+                cold_share: 1.0,
+                fall_multiple: 1.0,
+                answer_grace: Duration::from_millis(20),
+                ..Settings::default()
+            },
+            classes: self.class.iter().map(|class| class.name.clone()).collect(),
+            tenants: self.tenant.iter().map(|tenant| tenant.name.clone()).collect(),
+            zones,
+            limits: Limits {
+                max_open,
+                connect_timeout: Duration::from_millis(self.limits.connect_timeout_ms),
+                conn_idle: Duration::from_millis(self.limits.idle_ms),
+                multiplex: searches_per_server,
+            },
+        };
+        let mut names = Names { window, ..Names::default() };
+        for (at, index) in self.index.into_iter().enumerate() {
+            let class = contracts.class(&index.class).map(|class| class.0);
+            let unknown = || Faulty::new(&format!("index.{at}.class"), format!("no class {:?}", index.class));
+            names.indexes.insert(index.name.clone(), class.ok_or_else(unknown)?);
+        }
+        let mut callers = HashMap::new();
+        for (at, caller) in self.caller.into_iter().enumerate() {
+            let tenant = contracts.tenant(&caller.tenant);
+            let unknown =
+                || Faulty::new(&format!("caller.{at}.tenant"), format!("no tenant {:?}", caller.tenant));
+            callers.insert(caller.id.clone(), tenant.ok_or_else(unknown)?);
+        }
+        names.callers = callers;
+        let servers = Listing { revision: 0, complete: true, members };
+        Ok(FrontFile { listen, contracts, names, servers })
+    }
+}
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -1,9 +1,12 @@
 //! Start and end of the process.
 
 use super::config::Config;
+use super::opensearch::OpenSearch;
+use super::opensearch_file::FrontFile;
 use super::platform::Platform;
-use crate::routing::{Broker, Clock, Core};
-use crate::transport::listener::{self, Gate, Phase};
+use crate::routing::{Broker, Carrier, Clock, Core};
+use crate::transport::index_servers::IndexServers;
+use crate::transport::listener::{self, Front, Gate, Phase};
 use crate::transport::stream::{Dial, Tcp};
 use crate::transport::watch;
 use crate::transport::workers::Workers;
@@ -14,6 +17,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
+/// Descriptors that the second front reckons with.
+const SOCKETS: usize = 1024;
 /// After SIGTERM, the time in which clients still connect and are told to go elsewhere.
 const LINGER: Duration = Duration::from_millis(800);
 /// How often the end looks whether all is answered.
@@ -23,11 +28,8 @@
 
 /// Serves the platform until SIGTERM.
 pub fn platform(config: Config) -> io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, async move {
+    in_runtime(async move {
         let listener = TcpListener::bind(config.listen).await?;
-        let at = listener.local_addr()?;
-        let longest = config.contracts.settings.classes.iter().map(|class| class.deadline).max();
         let broker = Broker::new(Core::new(config.contracts), Clock::system());
         if let Some(known) = &config.known {
             broker.learn(known, true);
@@ -35,20 +37,56 @@
         let dial: Rc<dyn Dial> = Rc::new(Tcp);
         let workers = Workers::new(broker.clone(), dial.clone(), config.sockets / 4);
         let gate = Gate::new(config.sockets / 2);
-        let front = Rc::new(Platform { broker: broker.clone(), gate: gate.clone() });
-        let driver = broker.clone();
-        spawn_local(async move { driver.drive(&workers).await });
+        let front = Platform { broker: broker.clone(), gate: gate.clone() };
         let watcher = broker.clone();
         spawn_local(async move { watch::follow(&*dial, &config.discovery, &watcher).await });
-        spawn_local(listener::accept(listener, front, gate.clone()));
-        log::info!("{} serving on {at}", config.name);
-        stopped().await?;
-        wind_up(&gate, longest.unwrap_or_default()).await;
-        broker.core(|core| log::info!("counters: {}", core.counters));
-        Ok(())
+        serve(listener, &config.name, broker, workers, front, gate).await
     })
 }
 
+/// Serves the OpenSearch-style form until SIGTERM.
+pub fn opensearch(file: FrontFile, seed: u64) -> io::Result<()> {
+    in_runtime(async move {
+        let listener = TcpListener::bind(file.listen).await?;
+        let clock = Clock::system();
+        let broker = Broker::new(Core::new(file.contracts), clock);
+        broker.learn(&file.servers, true);
+        let servers = IndexServers::new(broker.clone(), Rc::new(Tcp));
+        let gate = Gate::new(SOCKETS / 2);
+        // Two starts have the same name only if they draw the same seed in the same nanosecond.
+        let start = format!("{:x}-{seed:016x}", clock.now().0);
+        let front = OpenSearch::new(broker.clone(), clock, gate.clone(), file.names, start, seed);
+        serve(listener, "opensearch", broker, servers, front, gate).await
+    })
+}
+
+fn in_runtime(main: impl Future<Output = io::Result<()>>) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, main)
+}
+
+/// Serves one front, from its first connection to its last answer.
+async fn serve(
+    listener: TcpListener,
+    name: &str,
+    broker: Broker,
+    carrier: impl Carrier + 'static,
+    front: impl Front + 'static,
+    gate: Rc<Gate>,
+) -> io::Result<()> {
+    let longest =
+        broker.core(|core| core.contracts().settings.classes.iter().map(|class| class.deadline).max());
+    let at = listener.local_addr()?;
+    let driver = broker.clone();
+    spawn_local(async move { driver.drive(&carrier).await });
+    spawn_local(listener::accept(listener, Rc::new(front), gate.clone()));
+    log::info!("{name} serving on {at}");
+    stopped().await?;
+    wind_up(&gate, longest.unwrap_or_default()).await;
+    broker.core(|core| log::info!("counters: {}", core.counters));
+    Ok(())
+}
+
 /// Returns on SIGTERM or SIGINT.
 async fn stopped() -> io::Result<()> {
     let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
--- a/src/protocol/http.rs
+++ b/src/protocol/http.rs
@@ -231,6 +231,8 @@
 pub struct Incoming {
     /// Its status.
     pub status: u16,
+    /// Its header.
+    pub headers: Headers,
     /// Its body.
     pub body: Bytes,
     /// The connection may be used again.
@@ -252,7 +254,7 @@
     let Some((body, end)) = body(&headers, &buffer[length..], most, empty)? else { return Ok(None) };
     buffer.advance(length + end);
     let keep_alive = modern && !headers.lists("Connection", "close");
-    Ok(Some(Incoming { status, body, keep_alive }))
+    Ok(Some(Incoming { status, headers, body, keep_alive }))
 }
 
 /// The body at the front of `rest` and how many bytes it takes up; `None` while it is not all there.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,4 +3,5 @@
 pub mod discovery;
 pub mod frame;
 pub mod http;
+pub mod opensearch;
 pub mod platform;
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -140,13 +140,13 @@
             }
         }
         Verdict::Refused { pause, .. } => refusal(*pause),
-        Verdict::Failed => Response::text(504, "not served in time; it may have run"),
+        Verdict::Failed => Response::text(504, "not served; it may have run"),
     }
 }
 
 /// A refusal, with the time after which to come back.
 pub fn refusal(pause: Option<Duration>) -> Response {
-    let response = Response::text(503, "refused; nothing has run, try again");
+    let response = Response::text(503, "refused; trying again is harmless");
     match pause.filter(|pause| !pause.is_zero()) {
         Some(pause) => response.with("Retry-After", format!("{:.3}", pause.as_secs_f64())),
         None => response,
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -191,7 +191,6 @@
     orders: Vec<Order>,
     timers: BTreeMap<(Time, u64), Handle>,
     queries: HashMap<RequestId, Held>,
-    labels: HashSet<Arc<str>>,
     parts: HashMap<RequestId, HeldPart>,
     flights: BTreeMap<Ticket, Flight>,
     roster: Roster,
@@ -211,7 +210,6 @@
             orders: Vec::new(),
             timers: BTreeMap::new(),
             queries: HashMap::new(),
-            labels: HashSet::new(),
             parts: HashMap::new(),
             flights: BTreeMap::new(),
             roster: Roster::default(),
@@ -238,7 +236,7 @@
 
     /// Whether a query of this label is open.
     pub fn has(&self, label: &str) -> bool {
-        self.labels.contains(label)
+        self.queries.values().any(|query| &*query.label == label)
     }
 
     fn id(&mut self) -> u64 {
@@ -267,7 +265,6 @@
             self.parts.insert(part, HeldPart { query: id, shard, attempts: 0, value: None });
             held.parts.push(part);
         }
-        self.labels.insert(held.label.clone());
         self.queries.insert(id, held);
         Ok(id)
     }
@@ -455,7 +452,6 @@
     /// Ends a query here; `None` if it has ended before. Its parts go with it.
     fn close(&mut self, id: RequestId) -> Option<Vec<HeldPart>> {
         let query = self.queries.remove(&id)?;
-        self.labels.remove(&query.label);
         Some(query.parts.iter().filter_map(|part| self.parts.remove(part)).collect())
     }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -5,6 +5,8 @@
 pub mod contracts;
 pub mod core;
 pub mod counters;
+pub mod held;
+pub mod ledger;
 pub mod roster;
 
 pub use broker::{Broker, Carrier, Clock};
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets: clients' connections, connections to workers, the discovery watch. Nothing here decides.
 
 pub mod client;
+pub mod index_servers;
 pub mod listener;
 pub mod stream;
 pub mod watch;
--- /dev/null
+++ b/tests/program.rs
@@ -0,0 +1,166 @@
+//! The program itself, on loopback sockets: start, one query, SIGTERM, exit.
+
+use bytes::BytesMut;
+use clayshore::protocol::http::{self, Incoming};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+
+/// A list of one worker, as discovery tells it; after that it stays silent, as when it is down.
+fn discovery(list: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut buffer = BytesMut::new();
+        while http::take_request(&mut buffer).expect("a request").is_none() {
+            read(&mut stream, &mut buffer);
+        }
+        stream.write_all(&http::Response::json(200, list).encode(false)).expect("written");
+        let _ = stream.read(&mut [0]);
+    });
+    address
+}
+
+/// A worker that serves every part with the same value.
+fn worker() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        loop {
+            let mut length = [0; 4];
+            if stream.read_exact(&mut length).is_err() {
+                return;
+            }
+            let mut rest = vec![0; u32::from_le_bytes(length) as usize];
+            stream.read_exact(&mut rest).expect("a frame");
+            let text = String::from_utf8(rest).expect("text");
+            let id = text[1..].split(' ').next().expect("an id");
+            let answer = format!("q{id} good 5 util=0.1,queue=0\n5be2");
+            stream.write_all(&(answer.len() as u32).to_le_bytes()).expect("written");
+            stream.write_all(answer.as_bytes()).expect("written");
+        }
+    });
+    address
+}
+
+fn read(stream: &mut TcpStream, buffer: &mut BytesMut) {
+    let mut bytes = [0; 4096];
+    let count = stream.read(&mut bytes).expect("readable");
+    assert!(count > 0, "the connection ended");
+    buffer.extend_from_slice(&bytes[..count]);
+}
+
+fn response(stream: &mut TcpStream) -> Incoming {
+    let mut buffer = BytesMut::new();
+    loop {
+        if let Some(response) = http::take_response(&mut buffer, http::MOST_BODY).expect("a response") {
+            return response;
+        }
+        read(stream, &mut buffer);
+    }
+}
+
+/// Starts the program; returns where it serves, and the rest of its log.
+fn start(command: &mut Command) -> (Child, String, impl BufRead) {
+    let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
+    let mut log = BufReader::new(child.stderr.take().expect("piped"));
+    let mut lines = log.by_ref().lines().map(|line| line.expect("a line"));
+    let address = lines.find_map(|line| line.split_once(" serving on ").map(|found| found.1.to_owned()));
+    (child, address.expect("the program serves"), log)
+}
+
+fn stop(mut child: Child, mut log: impl BufRead) -> String {
+    let kill = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().expect("kill runs");
+    assert!(kill.success());
+    let mut rest = String::new();
+    log.read_to_string(&mut rest).expect("the rest of the log");
+    assert!(child.wait().expect("it ends").success(), "{rest}");
+    rest
+}
+
+#[test]
+fn a_query_is_served_and_sigterm_ends_the_program() {
+    let list = format!(
+        r#"{{"revision":2,"complete":true,"members":[{{"id":"w1","host_port":"{}","phase":"SERVING"}}]}}"#,
+        worker()
+    );
+    let mut config: serde_json::Value =
+        serde_json::from_str(include_str!("scenario/platform.json")).expect("JSON");
+    config["discovery"] = discovery(list.clone()).into();
+    config["known"] = serde_json::from_str(&list).expect("JSON");
+    let path = std::env::temp_dir().join(format!("clayshore-{}.json", std::process::id()));
+    std::fs::write(&path, config.to_string()).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_clayshore"));
+    let (child, address, log) = start(command.env_clear().env("LB_CONFIG", &path));
+
+    let mut client = TcpStream::connect(&address).expect("connected");
+    client.write_all(&http::request("GET", "/_health", "x", None)).expect("written");
+    assert_eq!(response(&mut client).status, 200);
+    let body = r#"{"ranges":[{"range":3,"portion":1.0}],"predicate":"c41e"}"#;
+    let head = "POST /api HTTP/1.1\r\nX-Call-Id: a1\r\nX-Call-Class: seal\r\nX-Caller: bank\r\nX-Budget-Ms: 5000\r\n";
+    write!(client, "{head}Content-Length: {}\r\n\r\n{body}", body.len()).expect("written");
+    let answer = response(&mut client);
+    assert_eq!(
+        (answer.status, &*answer.body),
+        (200, &br#"{"total":true,"answers":[{"range":3,"blob":"5be2"}]}"#[..])
+    );
+    client.write_all(&http::request("GET", "/_counters", "x", None)).expect("written");
+    assert!(response(&mut client).body.starts_with(b"taken=1 "));
+
+    let log = stop(child, log);
+    assert!(log.contains("counters: taken=1 malformed=0 answered_whole=1 "), "{log}");
+    std::fs::remove_file(path).expect("removed");
+}
+
+#[test]
+fn the_front_of_the_file_starts_alone() {
+    let text = include_str!("scenario/opensearch.toml");
+    let path = std::env::temp_dir().join(format!("clayshore-{}.toml", std::process::id()));
+    std::fs::write(&path, text).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_clayshore"));
+    let (child, address, log) = start(command.env_clear().arg(&path));
+    let mut client = TcpStream::connect(&address).expect("connected");
+    client.write_all(&http::request("POST", "/none/_search", "x", Some(b"{}"))).expect("written");
+    assert_eq!(response(&mut client).status, 404);
+    assert!(stop(child, log).contains("counters: "));
+    std::fs::remove_file(path).expect("removed");
+}
+
+#[test]
+fn a_faulty_configuration_is_named_by_its_key() {
+    let good: serde_json::Value = serde_json::from_str(include_str!("scenario/platform.json")).expect("JSON");
+    let cases = [
+        ("/listen", "listen: no address"),
+        ("/seed", "seed: no hexadecimal"),
+        ("/known/members/0/phase", "known: unknown variant"),
+        ("/settings/domain/slices", "settings.domain.slices: bad number"),
+        ("/settings/categories/1/semantics", "settings.categories.1.semantics: unknown value"),
+        ("/settings/allowed/cancel", "settings.allowed.cancel: bad value"),
+    ];
+    for (at, message) in cases {
+        let mut bad = good.clone();
+        *bad.pointer_mut(at).expect("a key") = "x".into();
+        let error = clayshore::program::config::Config::from_json(&bad, |_| None).expect_err(at).to_string();
+        assert!(error.contains(message), "{at}: {error}");
+    }
+    let toml = include_str!("scenario/opensearch.toml");
+    let cases = [
+        ("zone = \"a\"", "colour = 1\nzone = \"a\"", "colour"),
+        ("span = 2", "span = 3", "layout"),
+        ("class = \"seal\"", "class = \"sail\"", "index.1.class"),
+        ("tenant = \"bank\"", "tenant = \"bunk\"", "caller.0.tenant"),
+        ("cell = 0", "cell = 5", "server.0.cell"),
+        ("wanted_ms = 2500", "wanted_ms = 9000", "class.0.wanted_ms"),
+    ];
+    for (from, to, key) in cases {
+        let bad = clayshore::program::opensearch_file::FrontFile::parse(&toml.replacen(from, to, 1), 1);
+        let error = bad.expect_err(key);
+        assert!(error.contains(key), "{key}: {error}");
+    }
+    let shipped =
+        clayshore::program::opensearch_file::FrontFile::parse(include_str!("../deploy/opensearch.toml"), 1);
+    assert!(shipped.is_ok(), "{shipped:?}");
+}
--- /dev/null
+++ b/tests/scenario/mod.rs
@@ -0,0 +1,344 @@
+//! The scenario language: `send`, `expect`, `close`, `wait`, a line each, played on pipes under a clock that stands
+//! still until all is quiet. The transcript tells everything that each party received, and when.
+
+use bytes::{BufMut, BytesMut};
+use clayshore::api::{Status, Time};
+use clayshore::program::config::Config;
+use clayshore::program::opensearch::OpenSearch;
+use clayshore::program::opensearch_file::FrontFile;
+use clayshore::program::platform::Platform;
+use clayshore::protocol::http;
+use clayshore::routing::{Broker, Carrier, Clock, Contracts, Core, Listing, Member};
+use clayshore::transport::index_servers::IndexServers;
+use clayshore::transport::listener::{self, Front, Gate, Phase};
+use clayshore::transport::stream::{Dial, Dialling, Stream};
+use clayshore::transport::workers::Workers;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Write;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, split};
+use tokio::sync::mpsc;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::Instant;
+
+const UNIX: Time = Time(1_700_000_000_000_000_000);
+const PIPE: usize = 1 << 16;
+const PATIENCE: Duration = Duration::from_secs(30);
+
+#[derive(Clone, Copy, PartialEq)]
+enum Port {
+    Open,
+    Closed,
+    Silent,
+}
+
+#[derive(Clone, Copy)]
+enum Form {
+    Frames,
+    Requests,
+    Responses,
+}
+
+struct Party {
+    form: Form,
+    port: Port,
+    /// Its connections, and those on which a request waits for its response, in order.
+    lines: Vec<Option<Line>>,
+    asked: Rc<RefCell<VecDeque<usize>>>,
+    heard: mpsc::UnboundedSender<String>,
+    inbox: Rc<RefCell<mpsc::UnboundedReceiver<String>>>,
+}
+
+struct Line {
+    say: mpsc::UnboundedSender<Vec<u8>>,
+    tasks: [tokio::task::JoinHandle<()>; 2],
+}
+
+impl Party {
+    fn new(form: Form) -> Party {
+        let (heard, inbox) = mpsc::unbounded_channel();
+        let inbox = Rc::new(RefCell::new(inbox));
+        Party { form, port: Port::Open, lines: Vec::new(), asked: Rc::default(), heard, inbox }
+    }
+    fn connect(&mut self, end: DuplexStream) {
+        let (read, mut write) = split(end);
+        let (say, mut said) = mpsc::unbounded_channel::<Vec<u8>>();
+        let (heard, asked, at) = (self.heard.clone(), self.asked.clone(), self.lines.len());
+        let reader = spawn_local(listen(read, self.form, heard, asked, at));
+        let writer = spawn_local(async move {
+            while let Some(bytes) = said.recv().await {
+                let _ = write.write_all(&bytes).await;
+            }
+        });
+        self.lines.push(Some(Line { say, tasks: [reader, writer] }));
+    }
+    /// The connection that is spoken on next: the one asked first, else the newest.
+    fn line(&mut self) -> Option<&mut Option<Line>> {
+        let at = self.asked.borrow_mut().pop_front().or(self.lines.len().checked_sub(1))?;
+        self.lines.get_mut(at)
+    }
+}
+
+/// Puts what a party receives into words.
+async fn listen(
+    mut read: ReadHalf<DuplexStream>,
+    form: Form,
+    heard: mpsc::UnboundedSender<String>,
+    asked: Rc<RefCell<VecDeque<usize>>>,
+    at: usize,
+) {
+    let mut buffer = BytesMut::new();
+    loop {
+        while let Some(words) = message(&mut buffer, form) {
+            if matches!(form, Form::Requests) {
+                asked.borrow_mut().push_back(at);
+            }
+            let _ = heard.send(words);
+        }
+        if !matches!(read.read_buf(&mut buffer).await, Ok(1..)) {
+            let _ = heard.send("closed".to_owned());
+            return;
+        }
+    }
+}
+
+fn message(buffer: &mut BytesMut, form: Form) -> Option<String> {
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).trim_end().replace('\n', "|");
+    match form {
+        Form::Frames => {
+            let length = u32::from_le_bytes(*buffer.first_chunk::<4>()?) as usize;
+            (buffer.len() >= 4 + length).then(|| text(&buffer.split_to(4 + length)[4..]))
+        }
+        Form::Requests => {
+            let request = http::take_request(buffer).expect("a request")?;
+            Some(format!("{} {}?{} {}", request.method, request.path, request.query, text(&request.body)))
+        }
+        Form::Responses => {
+            let response = http::take_response(buffer, 1 << 20).expect("a response")?;
+            let after = response.headers.get("Retry-After").map(|after| format!(" after={after}"));
+            Some(format!("{}{} {}", response.status, after.unwrap_or_default(), text(&response.body)))
+        }
+    }
+}
+
+/// Stands in for the network.
+#[derive(Clone, Default)]
+struct Pipes(Rc<RefCell<BTreeMap<String, Party>>>);
+
+impl Dial for Pipes {
+    fn dial<'a>(&'a self, address: &'a str) -> Dialling<'a> {
+        Box::pin(async move {
+            let port = self.0.borrow().get(address).map_or(Port::Closed, |party| party.port);
+            match port {
+                Port::Closed => return Err(io::ErrorKind::ConnectionRefused.into()),
+                Port::Silent => std::future::pending().await,
+                Port::Open => {}
+            }
+            let (near, far) = tokio::io::duplex(PIPE);
+            self.0.borrow_mut().get_mut(address).expect("known").connect(far);
+            Ok(Box::new(near) as Box<dyn Stream>)
+        })
+    }
+}
+
+struct Play {
+    pipes: Pipes,
+    start: Instant,
+    transcript: String,
+    seen: String,
+    broker: Broker,
+    gate: Rc<Gate>,
+}
+
+/// Plays a scenario; its first line names the front.
+pub fn play(script: &str) -> String {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let (first, rest) = script.split_once('\n').expect("a first line");
+        let (clock, gate, pipes) = (Clock::at(UNIX), Gate::new(64), Pipes::default());
+        match first {
+            "front platform" => {
+                let json = serde_json::from_str(include_str!("platform.json")).expect("JSON");
+                let config = Config::from_json(&json, |_| None).expect("a configuration");
+                let broker =
+                    broker(config.contracts, &config.known.expect("a list"), clock, &pipes, Form::Frames);
+                let workers = Workers::new(broker.clone(), Rc::new(pipes.clone()), 16);
+                let front = Platform { broker: broker.clone(), gate: gate.clone() };
+                run(rest, broker, workers, front, gate, pipes).await
+            }
+            "front opensearch" => {
+                let file = FrontFile::parse(include_str!("opensearch.toml"), 7).expect("a file");
+                let broker = broker(file.contracts, &file.servers, clock, &pipes, Form::Requests);
+                let servers = IndexServers::new(broker.clone(), Rc::new(pipes.clone()));
+                let front =
+                    OpenSearch::new(broker.clone(), clock, gate.clone(), file.names, "start-1".to_owned(), 7);
+                run(rest, broker, servers, front, gate, pipes).await
+            }
+            other => panic!("unknown first line {other:?}"),
+        }
+    })
+}
+
+fn broker(contracts: Contracts, list: &Listing, clock: Clock, pipes: &Pipes, form: Form) -> Broker {
+    let broker = Broker::new(Core::new(contracts), clock);
+    broker.learn(list, true);
+    for member in &list.members {
+        pipes.0.borrow_mut().insert(member.address.clone(), Party::new(form));
+    }
+    broker
+}
+
+async fn run<F: Front + 'static>(
+    script: &str,
+    broker: Broker,
+    carrier: impl Carrier + 'static,
+    front: F,
+    gate: Rc<Gate>,
+    pipes: Pipes,
+) -> String {
+    let driver = broker.clone();
+    spawn_local(async move { driver.drive(&carrier).await });
+    let (start, front) = (Instant::now(), Rc::new(front));
+    let (transcript, seen) = (String::new(), String::new());
+    let mut play = Play { pipes, start, transcript, seen, broker, gate };
+    for (number, line) in script.lines().enumerate().filter(|(_, line)| !line.is_empty()) {
+        let words = play.fill(line);
+        let _ = writeln!(play.transcript, "{words}");
+        let (verb, rest) = words.split_once(' ').unwrap_or((&words, ""));
+        let (who, what) = rest.split_once(' ').unwrap_or((rest, ""));
+        match verb {
+            "#" => {}
+            "wait" => tokio::time::sleep(Duration::from_millis(who.parse().expect("milliseconds"))).await,
+            "expect" => play.expect(who, what, number + 2).await,
+            "close" => play.close(who, what),
+            "send" => play.send(who, what, &front),
+            other => panic!("line {}: unknown verb {other:?}", number + 2),
+        }
+    }
+    play.finish().await
+}
+
+impl Play {
+    /// Puts the last idempotency key and scroll id that anyone saw in their places.
+    fn fill(&self, line: &str) -> String {
+        let last = |name: &str| {
+            let at = self.seen.rfind(&format!("\"{name}\":\""))? + name.len() + 4;
+            self.seen[at..].split('"').next()
+        };
+        let line = line.replace("$key", last("key").unwrap_or("none"));
+        line.replace("$scroll", last("_scroll_id").unwrap_or("none"))
+    }
+
+    fn note(&mut self, who: &str, words: &str) {
+        self.seen.push_str(words);
+        let _ = writeln!(self.transcript, "  {} ms, to {who}: {words}", self.start.elapsed().as_millis());
+    }
+
+    async fn expect(&mut self, who: &str, what: &str, line: usize) {
+        let inbox = self.pipes.0.borrow().get(who).map(|party| party.inbox.clone()).expect("a party");
+        let words = loop {
+            let next = std::future::poll_fn(|cx| inbox.borrow_mut().poll_recv(cx));
+            let heard = tokio::time::timeout(PATIENCE, next).await.ok().flatten();
+            let words = heard.unwrap_or_else(|| panic!("line {line}: nothing came\n{}", self.transcript));
+            // Connections come and go; their ends count where a scenario asks for them.
+            if words != "closed" || what == "closed" {
+                break words;
+            }
+        };
+        self.note(who, &words);
+        assert!(words.contains(what), "line {line}: {who} got {words:?}, not {what:?}\n{}", self.transcript);
+    }
+
+    fn close(&mut self, who: &str, what: &str) {
+        let mut parties = self.pipes.0.borrow_mut();
+        let party = parties.get_mut(who).expect("a party");
+        match what {
+            "" => {
+                if let Some(line) = party.line().and_then(Option::take) {
+                    line.tasks.iter().for_each(tokio::task::JoinHandle::abort);
+                }
+            }
+            "port" => party.port = Port::Closed,
+            "silently" => party.port = Port::Silent,
+            other => panic!("close what? {other:?}"),
+        }
+    }
+
+    fn send<F: Front + 'static>(&mut self, who: &str, what: &str, front: &Rc<F>) {
+        if who == "discovery" {
+            let (status, name) = what.split_once(' ').expect("a status and a worker");
+            let (status, since) = match status {
+                "SERVING" => (Status::Active, None),
+                "RESTARTED" => (Status::Active, Some(UNIX.after(self.start.elapsed()))),
+                "DRAINING" => (Status::Draining, None),
+                _ => (Status::Gone, None),
+            };
+            let (name, address, zone) = (name.to_owned(), name.to_owned(), String::new());
+            let member = Member { name, address, zone, cell: 0, status, units: 1.0, since };
+            return self
+                .broker
+                .learn(&Listing { revision: 2, complete: false, members: vec![member] }, false);
+        }
+        if who == "SIGTERM" {
+            return self.gate.enter(Phase::Stopping);
+        }
+        let mut parties = self.pipes.0.borrow_mut();
+        let party = parties.entry(who.to_owned()).or_insert_with(|| Party::new(Form::Responses));
+        if matches!(party.form, Form::Responses) && !matches!(party.lines.last(), Some(Some(_))) {
+            let (near, far) = tokio::io::duplex(PIPE);
+            party.connect(far);
+            let (front, gate) = (front.clone(), self.gate.clone());
+            spawn_local(async move { listener::serve(near, &*front, &gate).await });
+        }
+        let bytes = match party.form {
+            Form::Frames => {
+                let mut bytes = BytesMut::new();
+                let what = what.replacen(' ', "", 1);
+                bytes.put_u32_le(what.len() as u32);
+                bytes.put_slice(what.replace('|', "\n").as_bytes());
+                bytes.to_vec()
+            }
+            Form::Requests => {
+                let (status, body) = what.split_once(' ').expect("a status and a body");
+                http::Response::json(status.parse().expect("a status"), body.to_owned())
+                    .encode(false)
+                    .to_vec()
+            }
+            Form::Responses if what.starts_with("raw ") => what[4..].replace("\\r\\n", "\r\n").into_bytes(),
+            Form::Responses => {
+                let (head, body) = what.split_at(what.find(" {").map_or(what.len(), |at| at + 1));
+                let mut words = head.split_whitespace();
+                let mut text = format!(
+                    "{} {} HTTP/1.1\r\n",
+                    words.next().expect("a method"),
+                    words.next().expect("a path")
+                );
+                words.for_each(|field| text.push_str(&format!("{}\r\n", field.replacen('=', ": ", 1))));
+                format!("{text}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+            }
+        };
+        let line = party.line().and_then(Option::as_mut).expect("a connection");
+        line.say.send(bytes).expect("an open connection");
+    }
+
+    /// Lets the rest of the time pass; whatever comes then, nobody expected.
+    async fn finish(mut self) -> String {
+        tokio::time::sleep(PATIENCE).await;
+        let parties: Vec<_> =
+            self.pipes.0.borrow().iter().map(|(name, party)| (name.clone(), party.inbox.clone())).collect();
+        for (name, inbox) in parties {
+            while let Ok(words) = inbox.borrow_mut().try_recv() {
+                if words != "closed" {
+                    let _ = writeln!(self.transcript, "unexpected, to {name}: {words}");
+                }
+            }
+        }
+        let counters = self.broker.core(|core| core.counters.to_string());
+        let counted = counters.split(' ').filter(|pair| !pair.ends_with("=0")).collect::<Vec<_>>().join(" ");
+        let open = self.broker.core(|core| core.open());
+        format!("{}counted: {counted}\nopen: {open}\n", self.transcript)
+    }
+}
