--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,3 +5,4 @@
 pub mod http;
 pub mod opensearch;
 pub mod platform;
+pub mod trace;
