Refuse traffic beyond a tenant's share first where the fleet is loaded

Now each root keeps a bucket of its part of each quota, 3 s deep; a query beyond it is admitted only inside half the usual edge, and counts 0.1 in the order of admission. Clients' repeats use up nothing.

--- a/src/program/settings.rs
+++ b/src/program/settings.rs
@@ -192,6 +192,7 @@
             zone: ZoneId(self.count("az")?),
             classes: classes.collect::<Result<_, _>>()?,
             tenants,
+            over_share_worth: self.number("over-share-worth")?,
             quantum: self.span("quantum")?.unwrap_or_default(),
             ask_discovery: self.text("discovery") == Some("on_request"),
             must_ask_in: self.span("rules.must-ask-in")?.unwrap_or_default(),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -49,6 +49,10 @@
 /// Share of the time to the aim inside which a query must be expected: guesses err, and a query lost late
 /// wastes the work of all its parts. Not where a partial answer counts: a late part then costs its share.
 const ADMIT: f64 = 0.7;
+/// Seconds of a tenant's share that it may use at once: traffic comes in bursts, and unevenly over the roots.
+const SHARE_BURST: f64 = 3.0;
+/// Part of the usual edge of admission inside which a query beyond its tenant's share must be expected.
+const OVER_SHARE_EDGE: f64 = 0.5;
 /// Suspects tried in a turn: each may cost a query a copy.
 const TRIALS: usize = 2;
 /// Weight of one attempt in the share that a leaf loses, so that one loss alone counts for nothing, and the
@@ -148,6 +152,8 @@
     patience: BTreeMap<usize, (Duration, i32)>,
     marked: bool,
     further: VecDeque<(Time, bool)>,
+    /// Queries that each tenant still has in its share, and when that was last reckoned.
+    shares: BTreeMap<TenantId, (f64, Time)>,
     model: Model,
     /// Share of late attempts that were turned away or timed out.
     lost: f64,
@@ -435,7 +441,25 @@
 
     // ---- Admission and refusal ----
 
+    /// Books a query with its tenant, and tells whether it goes beyond the tenant's share at this root. A client's
+    /// repeat belongs to its first try, and uses up nothing.
+    fn over_share(&mut self, asked: &NewQuery) -> bool {
+        let quota = |tenant: TenantId| self.settings.tenants.get(tenant.0)?.quota_per_s;
+        let Some((tenant, quota)) = asked.tenant.and_then(|tenant| Some((tenant, quota(tenant)?))) else {
+            return false;
+        };
+        let rate = quota / f64::from(self.settings.roots.max(1));
+        let most = (rate * SHARE_BURST).max(1.0);
+        let (left, at) = self.shares.entry(tenant).or_insert((most, self.now));
+        *left = (*left + rate * seconds(self.now.since(*at))).min(most);
+        *at = self.now;
+        let over = *left < 1.0;
+        *left -= f64::from(u8::from(!over && !asked.retry));
+        over && self.settings.over_share_worth.is_some_and(|worth| worth < 1.0)
+    }
+
     fn take(&mut self, asked: NewQuery) {
+        let over_share = self.over_share(&asked);
         self.taken.push_back(self.now);
         let gap = seconds(self.now.since(self.asked.max(self.born)));
         (self.gap, self.asked) = (self.gap + 0.2 * (gap - self.gap), self.now);
@@ -460,7 +484,7 @@
         let aim = if repeat { aim.saturating_sub(spent) } else { aim };
         let aim_at = self.now.after(aim).min(asked.valid_until);
         self.jobs.insert(asked.job, asked.id);
-        let query = Query { aim_at, parts: Vec::new(), admitted: false, first_step: None, asked };
+        let query = Query { aim_at, parts: Vec::new(), admitted: false, over_share, first_step: None, asked };
         self.queries.insert(query.asked.id, query);
     }
 
@@ -494,6 +518,8 @@
             let work: f64 =
                 query.parts.iter().filter_map(|part| self.parts.get(part)).map(|part| part.work).sum();
             let worth = self.class(query.asked.class).map_or(0.0, |class| class.worth);
+            let share = if query.over_share { self.settings.over_share_worth.unwrap_or(1.0) } else { 1.0 };
+            let worth = worth * share;
             fresh.push((worth / work.max(1e-6), *id));
         }
         fresh.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
@@ -505,13 +531,14 @@
     fn admit_one(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(query) = self.queries.get_mut(&id) else { return };
         query.admitted = true;
+        let over_share = query.over_share;
         let Some(class) = self.settings.classes.get(query.asked.class.0) else {
             return self.end(id, Ending::Abandon { pause: Duration::ZERO }, actions);
         };
         let need =
             if query.first_step.is_some() { class.min_share } else { class.min_share.min(class.whole_at) };
         let most = if need < class.whole_at - EPSILON { 1.0 } else { ADMIT };
-        let edge = most.min(1.0 - self.lost.min(0.5));
+        let edge = most.min(1.0 - self.lost.min(0.5)) * if over_share { OVER_SHARE_EDGE } else { 1.0 };
         let left = seconds(query.aim_at.since(self.now));
         let mut plan: Vec<(RequestId, f64, f64, LeafId, f64)> = Vec::new();
         for id in query.parts.clone() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,6 +80,8 @@
     pub aim_at: Time,
     pub parts: Vec<RequestId>,
     pub admitted: bool,
+    /// It came when its tenant had used up its share.
+    pub over_share: bool,
     /// For a query in its second step: whether the first was whole.
     pub first_step: Option<bool>,
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -455,3 +455,26 @@
     assert!(root.actions.iter().any(|action| matches!(action, Action::Cancel { .. })));
     assert_eq!(root.sent.len(), 2);
 }
+
+#[test]
+fn under_load_a_query_beyond_its_tenants_share_is_refused_first() {
+    // On an overloaded day refusals fell on traffic inside and beyond the shares alike.
+    let tenants = [Some(1.0), Some(1000.0)].map(|quota_per_s| Tenant { quota_per_s });
+    let over_share_worth = Some(0.1);
+    let settings = Settings { tenants: tenants.into(), over_share_worth, may_probe: false, ..settings() };
+    let mut root = Root::new(settings, &[1]);
+    let mut served = [0, 0];
+    for turn in 0..12 {
+        let tenant = turn % 2;
+        let (query, _, mut events) = root.query(Some("k"), &[0]);
+        if let Some(Event::Query(asked)) = events.first_mut() {
+            asked.tenant = Some(TenantId(tenant));
+        }
+        root.turn(events);
+        served[tenant] += u32::from(!ended(&root, query));
+    }
+    assert!(
+        served[0] < served[1] && served[0] >= 3,
+        "served {served:?}: the first tenant has a share of 3 at once"
+    );
+}
