--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -82,7 +82,7 @@
     spawn_local(listener::accept(listener, Rc::new(front), gate.clone()));
     log::info!("{name} serving on {at}");
     stopped().await?;
-    wind_up(&gate, longest.unwrap_or_default()).await;
+    wind_up(&broker, &gate, longest.unwrap_or_default()).await;
     broker.core(|core| log::info!("counters: {}", core.counters));
     Ok(())
 }
@@ -98,13 +98,14 @@
 }
 
 /// Takes nothing new, and returns once all that was taken is answered.
-async fn wind_up(gate: &Gate, longest: Duration) {
+async fn wind_up(broker: &Broker, gate: &Gate, longest: Duration) {
     log::info!("stopping: {} connections are open", gate.open());
     gate.enter(Phase::Stopping);
     tokio::time::sleep(LINGER).await;
     gate.enter(Phase::Closing);
     let all_answered = async {
-        while gate.open() > 0 {
+        // A search that runs once goes on without its client, for the outcome is to be known.
+        while gate.open() > 0 || broker.core(|core| core.open()) > 0 {
             tokio::time::sleep(LOOK).await;
         }
     };
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -441,8 +441,8 @@
 
     // ---- Admission and refusal ----
 
-    /// Books a query with its tenant, and tells whether it goes beyond the tenant's share at this root. A client's
-    /// repeat belongs to its first try, and uses up nothing.
+    /// Books a query with its tenant, and tells whether it goes beyond the tenant's share at this root. A
+    /// client's repeat belongs to its first try, and uses up nothing.
     fn over_share(&mut self, asked: &NewQuery) -> bool {
         let quota = |tenant: TenantId| self.settings.tenants.get(tenant.0)?.quota_per_s;
         let Some((tenant, quota)) = asked.tenant.and_then(|tenant| Some((tenant, quota(tenant)?))) else {
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -89,10 +89,6 @@
 /// Accepts connections until the gate closes; whoever has connected by then is still served.
 pub async fn accept<F: Front + 'static>(listener: TcpListener, front: Rc<F>, gate: Rc<Gate>) {
     loop {
-        while gate.open.get() >= gate.most {
-            gate.crowded.notify_one();
-            gate.freed.notified().await;
-        }
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
@@ -103,6 +99,11 @@
                 if let Err(error) = stream.set_nodelay(true) {
                     log::debug!("client: {error}");
                 }
+                // Room is made for one that has come, not before.
+                while gate.open.get() >= gate.most {
+                    gate.crowded.notify_one();
+                    gate.freed.notified().await;
+                }
                 gate.open.set(gate.open.get() + 1);
                 let (front, place) = (front.clone(), Place(gate.clone()));
                 tokio::task::spawn_local(async move { serve(stream, &*front, &place.0).await });
@@ -149,14 +150,17 @@
                 () = tokio::time::sleep(if fresh { IDLE } else { SLOW }) => return,
             }
         };
-        let keep_alive = request.keep_alive;
+        let (keep_alive, bodiless) = (request.keep_alive, request.method == "HEAD");
         let response = tokio::select! {
             biased;
             response = front.respond(request) => response,
             () = gone(&mut read, &mut buffer) => return,
         };
         let close = !keep_alive || gate.phase() != Phase::Serving;
-        let bytes = response.encode(close);
+        let mut bytes = response.encode(close);
+        if bodiless {
+            bytes.truncate(bytes.len() - response.body.len());
+        }
         let written = tokio::time::timeout(SLOW, write.write_all(&bytes)).await;
         if !matches!(written, Ok(Ok(()))) {
             return;
--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -38,6 +38,8 @@
 struct Link {
     name: String,
     address: String,
+    /// Discovery lists it, and it takes new work.
+    listed: bool,
     open: bool,
     lines: Vec<Rc<Line>>,
 }
@@ -203,12 +205,15 @@
             Err(error) => format!("cannot connect: {error}"),
         };
         line.retired.set(true);
-        if let Some(link) = self.0.links.borrow_mut().get_mut(&leaf) {
+        let mut links = self.0.links.borrow_mut();
+        if let Some(link) = links.get_mut(&leaf) {
             link.lines.retain(|other| !Rc::ptr_eq(other, &line));
             if !line.quiet() {
                 log::warn!("worker {} at {}: {why}", link.name, line.address);
             }
         }
+        links.retain(|_, link| link.listed || !link.lines.is_empty());
+        drop(links);
         // After a frame's last byte its parts may have run; before that none can have.
         let calls = line.calls.take();
         for call in calls.into_values() {
@@ -280,9 +285,11 @@
         let link = links.entry(leaf).or_insert_with(|| Link {
             name: name.to_owned(),
             address: address.to_owned(),
+            listed: true,
             open,
             lines: Vec::new(),
         });
+        link.listed = true;
         let back = if open { Vec::new() } else { self.stop(link) };
         link.open = open;
         if link.address != address {
@@ -295,16 +302,15 @@
 
     fn gone(&self, leaf: LeafId) {
         let mut links = self.0.links.borrow_mut();
-        let Some(mut link) = links.remove(&leaf) else { return };
-        let back = self.stop(&mut link);
+        let Some(link) = links.get_mut(&leaf) else { return };
+        let back = self.stop(link);
+        link.listed = false;
+        // Its lines still bring what was out on them.
         for line in &link.lines {
             line.retired.set(true);
             line.news.notify_one();
         }
-        if !link.lines.is_empty() {
-            // Its lines still bring what was out on them.
-            links.insert(leaf, link);
-        }
+        links.retain(|_, link| link.listed || !link.lines.is_empty());
         drop(links);
         self.end_all(back, Outcome::Skipped);
     }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -12,6 +12,7 @@
 use clayshore::transport::index_servers::IndexServers;
 use clayshore::transport::listener::{self, Front, Gate, Phase};
 use clayshore::transport::stream::{Dial, Dialling, Stream};
+use clayshore::transport::watch;
 use clayshore::transport::workers::Workers;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
@@ -99,6 +100,7 @@
             let _ = heard.send(words);
         }
         if !matches!(read.read_buf(&mut buffer).await, Ok(1..)) {
+            asked.borrow_mut().retain(|other| *other != at);
             let _ = heard.send("closed".to_owned());
             return;
         }
@@ -160,12 +162,17 @@
         let (first, rest) = script.split_once('\n').expect("a first line");
         let (clock, gate, pipes) = (Clock::at(UNIX), Gate::new(64), Pipes::default());
         match first {
-            "front platform" => {
+            "front platform" | "front platform watching agent" => {
                 let json = serde_json::from_str(include_str!("platform.json")).expect("JSON");
                 let config = Config::from_json(&json, |_| None).expect("a configuration");
                 let broker =
                     broker(config.contracts, &config.known.expect("a list"), clock, &pipes, Form::Frames);
                 let workers = Workers::new(broker.clone(), Rc::new(pipes.clone()), 16);
+                if first.ends_with("agent") {
+                    pipes.0.borrow_mut().insert("agent".to_owned(), Party::new(Form::Requests));
+                    let (dial, watcher) = (pipes.clone(), broker.clone());
+                    spawn_local(async move { watch::follow(&dial, "agent", &watcher).await });
+                }
                 let front = Platform { broker: broker.clone(), gate: gate.clone() };
                 run(rest, broker, workers, front, gate, pipes).await
             }
