--- a/src/program/opensearch_file.rs
+++ b/src/program/opensearch_file.rs
@@ -136,6 +136,9 @@
     pub servers: Listing,
 }
 
+/// Connections to index servers that the process has descriptors for, beside those of its clients.
+const MOST_CONNECTIONS: usize = 448;
+
 impl FrontFile {
     /// Reads a file.
     pub fn read(path: &str, seed: u64) -> Result<FrontFile, Error> {
@@ -163,6 +166,10 @@
         if window == 0 || searches_per_server == 0 || attempts == 0 || max_open <= shards as usize {
             return Err(Faulty::new("limits", "1 at least; max_open over layout.shards"));
         }
+        if self.server.len().saturating_mul(searches_per_server) > MOST_CONNECTIONS {
+            let what = format!("with {} servers more than {MOST_CONNECTIONS} connections", self.server.len());
+            return Err(Faulty::new("limits.searches_per_server", what));
+        }
         let mut classes = Vec::new();
         for (at, class) in self.class.iter().enumerate() {
             let key = |name: &str| format!("class.{at}.{name}");
--- a/src/transport/index_servers.rs
+++ b/src/transport/index_servers.rs
@@ -17,7 +17,7 @@
 /// Share of the server's idle time after which a connection is closed from this side.
 const IDLE_SHARE: f64 = 0.6;
 /// The longest result of one shard.
-const MOST_RESULT: usize = 1 << 20;
+const MOST_RESULT: usize = 512 << 10;
 
 /// All connections to index servers.
 #[derive(Clone)]
--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -279,6 +279,14 @@
     }
 }
 
+/// Gives a worker's lines no new calls; each ends once nothing is out on it.
+fn retire(link: &Link) {
+    for line in &link.lines {
+        line.retired.set(true);
+        line.news.notify_one();
+    }
+}
+
 impl Carrier for Workers {
     fn member(&self, leaf: LeafId, name: &str, address: &str, open: bool) {
         let mut links = self.0.links.borrow_mut();
@@ -294,7 +302,7 @@
         link.open = open;
         if link.address != address {
             link.address = address.to_owned();
-            link.lines.iter().for_each(|line| line.retired.set(true));
+            retire(link);
         }
         drop(links);
         self.end_all(back, Outcome::Skipped);
@@ -306,10 +314,7 @@
         let back = self.stop(link);
         link.listed = false;
         // Its lines still bring what was out on them.
-        for line in &link.lines {
-            line.retired.set(true);
-            line.news.notify_one();
-        }
+        retire(link);
         links.retain(|_, link| link.listed || !link.lines.is_empty());
         drop(links);
         self.end_all(back, Outcome::Skipped);
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -150,6 +150,7 @@
     let cases = [
         ("zone = \"a\"", "colour = 1\nzone = \"a\"", "colour"),
         ("span = 2", "span = 3", "layout"),
+        ("window = 20", "window = 20, searches_per_server = 500", "limits.searches_per_server"),
         ("class = \"seal\"", "class = \"sail\"", "index.1.class"),
         ("tenant = \"bank\"", "tenant = \"bunk\"", "caller.0.tenant"),
         ("cell = 0", "cell = 5", "server.0.cell"),
