Give a search that runs once an outcome even if its task breaks

A claim to run now brings the receiver of the outcome with it, so the front no longer claims twice; a run whose task ends without a result is recorded as failed, where its waiters would have waited for good. Reading JSON bodies is one function.

--- a/src/program/opensearch.rs
+++ b/src/program/opensearch.rs
@@ -100,18 +100,16 @@
                 "[Idempotency-Key] is missing: this index runs a search once; POST {KEYS} for a key"
             ))
         })?;
+        let lost = || Fault::new(500, "illegal_state_exception", "the search ended without an outcome");
         let claim = self.ledger.borrow_mut().claim(self.clock.now(), key, &checked.owner, checked.digest);
         let mut told = match claim {
-            Claim::Run => {
+            Claim::Run(told) => {
                 // It runs on its own, so that a client that leaves and comes back still finds its outcome.
-                let Claim::Join(told) =
-                    self.ledger.borrow_mut().claim(self.clock.now(), key, &checked.owner, checked.digest)
-                else {
-                    return Err(Fault::new(500, "illegal_state_exception", "the key was lost"));
-                };
                 let (front, key) = (self.clone(), key.to_owned());
                 spawn_local(async move {
-                    let (response, ran) = front.run(checked).await;
+                    let runner = front.clone();
+                    let run = spawn_local(async move { runner.run(checked).await }).await;
+                    let (response, ran) = run.unwrap_or_else(|_| (lost().response(), true));
                     let size = response.body.len();
                     front.ledger.borrow_mut().finish(front.clock.now(), &key, response, size, ran);
                 });
@@ -135,7 +133,6 @@
                 return Err(Fault::new(409, "unknown_outcome_exception", reason));
             }
         };
-        let lost = || Fault::new(500, "illegal_state_exception", "the search ended without an outcome");
         let outcome = told.wait_for(Option::is_some).await.map_err(|_| lost())?;
         outcome.clone().ok_or_else(lost)
     }
@@ -192,8 +189,7 @@
     /// A further page. Its id names the place where it begins, so that asking again brings the same page.
     fn scroll(&self, request: &Request) -> Result<Response, Fault> {
         let (owner, _) = self.caller(request)?;
-        let body: Value =
-            serde_json::from_slice(&request.body).map_err(|error| Fault::parsing(error.to_string()))?;
+        let body = json_body(request)?;
         let id = body
             .get("scroll_id")
             .and_then(Value::as_str)
@@ -224,8 +220,7 @@
 
     fn clear_scroll(&self, request: &Request) -> Result<Response, Fault> {
         let (owner, _) = self.caller(request)?;
-        let body: Value =
-            serde_json::from_slice(&request.body).map_err(|error| Fault::parsing(error.to_string()))?;
+        let body = json_body(request)?;
         let ids = match body.get("scroll_id") {
             Some(Value::String(id)) => vec![id.as_str()],
             Some(Value::Array(ids)) => ids.iter().filter_map(Value::as_str).collect(),
@@ -328,6 +323,10 @@
     }
 }
 
+fn json_body(request: &Request) -> Result<Value, Fault> {
+    serde_json::from_slice(&request.body).map_err(|error| Fault::parsing(error.to_string()))
+}
+
 impl Front for Rc<OpenSearch> {
     async fn respond(&self, request: Request) -> Response {
         self.route(&request).await.unwrap_or_else(|fault| {
--- a/src/routing/ledger.rs
+++ b/src/routing/ledger.rs
@@ -34,8 +34,8 @@
 /// What a request with a key is to do.
 #[derive(Debug)]
 pub enum Claim<T> {
-    /// Run, and [`Ledger::finish`].
-    Run,
+    /// Run, and [`Ledger::finish`]; wait for the outcome like those who join.
+    Run(watch::Receiver<Option<T>>),
     /// Wait for the outcome of the one that runs.
     Join(watch::Receiver<Option<T>>),
     /// Give this answer again.
@@ -90,8 +90,9 @@
         };
         match &entry.state {
             State::Issued => {
-                entry.state = State::Running { digest, tell: watch::Sender::new(None) };
-                Claim::Run
+                let (tell, told) = watch::channel(None);
+                entry.state = State::Running { digest, tell };
+                Claim::Run(told)
             }
             State::Running { digest: first, .. } | State::Recorded { digest: first, .. }
                 if *first != digest =>
@@ -157,7 +158,7 @@
         let mut ledger = ledger("a");
         let key = ledger.issue(Time(0), "bank").expect("there is room");
         assert!(matches!(ledger.claim(Time(0), &key, "notary", 1), Claim::Unknown));
-        assert!(matches!(ledger.claim(Time(0), &key, "bank", 1), Claim::Run));
+        assert!(matches!(ledger.claim(Time(0), &key, "bank", 1), Claim::Run(_)));
         assert!(matches!(ledger.claim(Time(0), &key, "bank", 2), Claim::Mismatch));
         let Claim::Join(told) = ledger.claim(Time(0), &key, "bank", 1) else { panic!("it runs") };
         ledger.finish(Time(0), &key, "sealed", 6, true);
@@ -177,7 +178,7 @@
             [before.issue(now, "bank"), before.issue(now, "bank")].map(|key| key.expect("there is room"));
         assert_eq!(before.issue(now, "bank"), Err(Full));
         for (at, key) in keys.iter().enumerate() {
-            assert!(matches!(before.claim(now, key, "bank", 1), Claim::Run));
+            assert!(matches!(before.claim(now, key, "bank", 1), Claim::Run(_)));
             before.finish(Time(now.0 + at as u64), key, "sealed", 6, true);
         }
         assert!(matches!(before.claim(now, &keys[0], "bank", 1), Claim::Unknown));
@@ -188,8 +189,8 @@
     fn a_refused_run_leaves_its_key_for_another_try() {
         let mut ledger = ledger("a");
         let key = ledger.issue(Time(0), "bank").expect("there is room");
-        assert!(matches!(ledger.claim(Time(0), &key, "bank", 1), Claim::Run));
+        assert!(matches!(ledger.claim(Time(0), &key, "bank", 1), Claim::Run(_)));
         ledger.finish(Time(0), &key, "refused", 7, false);
-        assert!(matches!(ledger.claim(Time(0), &key, "bank", 1), Claim::Run));
+        assert!(matches!(ledger.claim(Time(0), &key, "bank", 1), Claim::Run(_)));
     }
 }
