While stopping, give repeats of a keyed search their outcome; refuse only new ones

A repeat of a search that ran or was on record was refused like a new one after SIGTERM, though its outcome was at hand and is lost with the process. The phase is now looked at when a key would begin to run; the key is given back then.

--- a/src/program/opensearch.rs
+++ b/src/program/opensearch.rs
@@ -83,16 +83,20 @@
 
     async fn search(self: &Rc<Self>, index: &str, request: &Request) -> Result<Response, Fault> {
         let checked = self.check(index, request)?;
-        if self.gate.phase() != Phase::Serving {
-            self.broker.core(|core| core.counters.refused_stopping += 1);
-            return Ok(opensearch::refused(Refusal::Stopping, None));
-        }
         if checked.once {
             return self.search_once(checked, request.headers.get("Idempotency-Key")).await;
         }
+        if self.gate.phase() != Phase::Serving {
+            return Ok(self.stopping());
+        }
         Ok(self.run(checked).await.0)
     }
 
+    fn stopping(&self) -> Response {
+        self.broker.core(|core| core.counters.refused_stopping += 1);
+        opensearch::refused(Refusal::Stopping, None)
+    }
+
     /// Guards against a client's own retry: one key runs one search, whoever asks how often.
     async fn search_once(self: &Rc<Self>, checked: Checked, key: Option<&str>) -> Result<Response, Fault> {
         let key = key.ok_or_else(|| {
@@ -103,6 +107,12 @@
         let lost = || Fault::new(500, "illegal_state_exception", "the search ended without an outcome");
         let claim = self.ledger.borrow_mut().claim(self.clock.now(), key, &checked.owner, checked.digest);
         let mut told = match claim {
+            Claim::Run(_) if self.gate.phase() != Phase::Serving => {
+                // Repeats still get their outcome; nothing new runs.
+                let refused = self.stopping();
+                self.ledger.borrow_mut().finish(self.clock.now(), key, refused.clone(), 0, false);
+                return Ok(refused);
+            }
             Claim::Run(told) => {
                 // It runs on its own, so that a client that leaves and comes back still finds its outcome.
                 let (front, key) = (self.clone(), key.to_owned());
