Read the configuration again on SIGHUP and move discovery under load

Checked: the log ends at the signal; src/program/run.rs handled SIGTERM and SIGINT only, so SIGHUP's default ended the process. src/program/config.rs let LB_DISCOVERY go over the file, which would have kept the old address for good. Now: the file goes first, the watch moves (whole list from the new agent), a faulty file is logged and changes nothing.

--- a/src/main.rs
+++ b/src/main.rs
@@ -27,7 +27,9 @@
 fn start() -> Result<(), Failure> {
     if let Some(path) = std::env::args().nth(1) {
         let seed = fastrand::u64(..);
-        return Ok(run::opensearch(FrontFile::read(&path, seed)?, seed)?);
+        let read = move || FrontFile::read(&path, seed);
+        return Ok(run::opensearch(read()?, seed, read)?);
     }
-    Ok(run::platform(Config::from_platform(|name| std::env::var(name).ok())?)?)
+    let read = || Config::from_platform(|name| std::env::var(name).ok());
+    Ok(run::platform(read()?, read)?)
 }
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -54,7 +54,8 @@
 }
 
 impl Config {
-    /// Reads what the platform says: the file that `LB_CONFIG` names, and the other variables over it.
+    /// Reads what the platform says: the file that `LB_CONFIG` names; the other variables fill in what it lacks. The
+    /// file goes first because it alone can be replaced while the program runs.
     pub fn from_platform(variable: impl Fn(&str) -> Option<String>) -> Result<Config, Error> {
         let path = variable("LB_CONFIG").ok_or(Error::Unset("LB_CONFIG"))?;
         let bytes = std::fs::read(&path).map_err(|error| Error::File { path: path.clone(), error })?;
@@ -66,8 +67,11 @@
     /// Checks the file's content.
     pub fn from_json(json: &Value, variable: impl Fn(&str) -> Option<String>) -> Result<Config, Faulty> {
         let text = |key: &str, name: &str| {
-            let given = variable(name).or_else(|| json.get(key)?.as_str().map(str::to_owned));
-            given.ok_or_else(|| Faulty::new(key, "missing, or no text"))
+            match json.get(key) {
+                Some(value) => value.as_str().map(str::to_owned),
+                None => variable(name),
+            }
+            .ok_or_else(|| Faulty::new(key, "missing, or no text"))
         };
         let listen = text("listen", "LB_LISTEN")?;
         let listen = listen.parse().map_err(|_| Faulty::new("listen", format!("no address {listen:?}")))?;
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -1,6 +1,6 @@
 //! Start and end of the process.
 
-use super::config::Config;
+use super::config::{Config, Error};
 use super::opensearch::OpenSearch;
 use super::opensearch_file::FrontFile;
 use super::platform::Platform;
@@ -14,7 +14,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch::Sender;
 use tokio::task::{LocalSet, spawn_local};
 
 /// Descriptors that the second front reckons with.
@@ -26,9 +27,10 @@
 /// Time past the longest deadline after which the end no longer waits for a client to read its answer.
 const SLACK: Duration = Duration::from_millis(300);
 
-/// Serves the platform until SIGTERM.
-pub fn platform(config: Config) -> io::Result<()> {
+/// Serves the platform until SIGTERM. SIGHUP has the configuration read again.
+pub fn platform(config: Config, read: impl Fn() -> Result<Config, Error> + 'static) -> io::Result<()> {
     in_runtime(async move {
+        let hangups = signal(SignalKind::hangup())?;
         let listener = TcpListener::bind(config.listen).await?;
         let broker = Broker::new(Core::new(config.contracts), Clock::system());
         if let Some(known) = &config.known {
@@ -39,18 +41,39 @@
         let gate = Gate::new(config.sockets / 2);
         let front = Platform { broker: broker.clone(), gate: gate.clone() };
         let watcher = broker.clone();
-        spawn_local(async move { watch::follow(&*dial, &config.discovery, &watcher).await });
+        let discovery = Sender::new(config.discovery);
+        let address = discovery.subscribe();
+        spawn_local(async move { watch::follow(&*dial, address, &watcher).await });
+        spawn_local(reload(hangups, move || {
+            // Where discovery is takes effect now, all else at the next start.
+            let config = read()?;
+            let news = format!("discovery at {}", config.discovery);
+            discovery.send_replace(config.discovery);
+            Ok(news)
+        }));
         serve(listener, &config.name, broker, workers, front, gate).await
     })
 }
 
-/// Serves the OpenSearch-style form until SIGTERM.
-pub fn opensearch(file: FrontFile, seed: u64) -> io::Result<()> {
+/// Serves the OpenSearch-style form until SIGTERM. SIGHUP has the file read again.
+pub fn opensearch(
+    file: FrontFile,
+    seed: u64,
+    read: impl Fn() -> Result<FrontFile, Error> + 'static,
+) -> io::Result<()> {
     in_runtime(async move {
+        let hangups = signal(SignalKind::hangup())?;
         let listener = TcpListener::bind(file.listen).await?;
         let clock = Clock::system();
         let broker = Broker::new(Core::new(file.contracts), clock);
         broker.learn(&file.servers, true);
+        let learner = broker.clone();
+        spawn_local(reload(hangups, move || {
+            // Which index servers there are takes effect now, all else at the next start.
+            let servers = read()?.servers;
+            learner.learn(&servers, false);
+            Ok(format!("{} index servers", servers.members.len()))
+        }));
         let servers = IndexServers::new(broker.clone(), Rc::new(Tcp));
         let gate = Gate::new(SOCKETS / 2);
         // Two starts have the same name only if they draw the same seed in the same nanosecond.
@@ -87,6 +110,17 @@
     Ok(())
 }
 
+/// Reads the configuration again at each SIGHUP, and says what holds from now on; nothing that is in flight notices.
+/// A faulty file changes nothing.
+async fn reload(mut hangups: Signal, mut read: impl FnMut() -> Result<String, Error>) {
+    while hangups.recv().await.is_some() {
+        match read() {
+            Ok(news) => log::info!("configuration read again: {news}"),
+            Err(error) => log::error!("configuration not read again, the old one holds: {error}"),
+        }
+    }
+}
+
 /// Returns on SIGTERM or SIGINT.
 async fn stopped() -> io::Result<()> {
     let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -6,6 +6,7 @@
 use crate::routing::Broker;
 use bytes::BytesMut;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// How long a watch may wait: short, so that a connection that has gone silent is soon replaced.
 const WAIT: Duration = Duration::from_secs(5);
@@ -15,11 +16,24 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// Tells the broker whatever discovery says, for as long as the process lives. Serving never waits for it.
-pub async fn follow(dial: &dyn Dial, address: &str, broker: &Broker) {
-    let mut revision = None;
+pub async fn follow(dial: &dyn Dial, mut address: watch::Receiver<String>, broker: &Broker) {
+    let (mut at, mut revision, mut said) = (String::new(), None, String::new());
     loop {
-        let error = session(dial, address, broker, &mut revision).await;
-        log::warn!("discovery: {error}; serving goes on with the last list");
+        let next = address.borrow_and_update().clone();
+        if next != at {
+            // Guards against changes missed between the two: another agent is asked for its whole list.
+            (at, revision, said) = (next, None, String::new());
+        }
+        let error = tokio::select! {
+            biased;
+            Ok(()) = address.changed() => continue,
+            error = session(dial, &at, broker, &mut revision) => error,
+        };
+        // An agent that is down is told of once, not at each try.
+        if error != said {
+            log::warn!("discovery at {at}: {error}; serving goes on with the last list");
+            said = error;
+        }
         tokio::time::sleep(PAUSE).await;
     }
 }
@@ -44,7 +58,11 @@
         match discovery::listing(&response.body) {
             Ok(listing) => {
                 if revision.is_none() {
-                    log::info!("discovery: list {} with {} workers", listing.revision, listing.members.len());
+                    log::info!(
+                        "discovery at {address}: list {} with {} workers",
+                        listing.revision,
+                        listing.members.len()
+                    );
                 }
                 // A list without entries says only that the wait is over, unless it is the whole list.
                 if listing.complete || !listing.members.is_empty() {
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -72,9 +72,18 @@
     (child, address.expect("the program serves"), log)
 }
 
-fn stop(mut child: Child, mut log: impl BufRead) -> String {
-    let kill = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().expect("kill runs");
+fn send_signal(child: &Child, name: &str) {
+    let kill = Command::new("kill").args([name, &child.id().to_string()]).status().expect("kill runs");
     assert!(kill.success());
+}
+
+/// The next line of the log that holds these words.
+fn logged(log: &mut impl BufRead, words: &str) -> String {
+    log.lines().map(|line| line.expect("a line")).find(|line| line.contains(words)).expect("such a line")
+}
+
+fn stop(mut child: Child, mut log: impl BufRead) -> String {
+    send_signal(&child, "-TERM");
     let mut rest = String::new();
     log.read_to_string(&mut rest).expect("the rest of the log");
     assert!(child.wait().expect("it ends").success(), "{rest}");
@@ -94,7 +103,9 @@
     let path = std::env::temp_dir().join(format!("clayshore-{}.json", std::process::id()));
     std::fs::write(&path, config.to_string()).expect("written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_clayshore"));
-    let (child, address, log) = start(command.env_clear().env("LB_CONFIG", &path));
+    // The file goes before the variables: it alone can be replaced while the program runs.
+    let first = config["discovery"].as_str().expect("an address").to_owned();
+    let (child, address, log) = start(command.env_clear().env("LB_CONFIG", &path).env("LB_DISCOVERY", first));
 
     let mut client = TcpStream::connect(&address).expect("connected");
     client.write_all(&http::request("GET", "/_health", "x", None)).expect("written");
@@ -110,6 +121,17 @@
     client.write_all(&http::request("GET", "/_counters", "x", None)).expect("written");
     assert!(response(&mut client).body.starts_with(b"taken=1 "));
 
+    // Guards against ending on SIGHUP, and against a faulty file that replaces a good configuration.
+    let mut log = log;
+    std::fs::write(&path, config.to_string().replace("\"seed\":\"07\"", "\"seed\":\"x\"")).expect("written");
+    send_signal(&child, "-HUP");
+    assert!(logged(&mut log, "not read again").contains("seed: no hexadecimal"));
+    let moved = discovery(list);
+    config["discovery"] = moved.clone().into();
+    std::fs::write(&path, config.to_string()).expect("written");
+    send_signal(&child, "-HUP");
+    logged(&mut log, &format!("discovery at {moved}: list 2 with 1 workers"));
+
     let log = stop(child, log);
     assert!(log.contains("counters: taken=1 malformed=0 answered_whole=1 "), "{log}");
     std::fs::remove_file(path).expect("removed");
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -153,6 +153,8 @@
     seen: String,
     broker: Broker,
     gate: Rc<Gate>,
+    /// Where discovery is.
+    agent: tokio::sync::watch::Sender<String>,
 }
 
 /// Plays a scenario; its first line names the front.
@@ -161,6 +163,7 @@
     LocalSet::new().block_on(&runtime.expect("a runtime"), async {
         let (first, rest) = script.split_once('\n').expect("a first line");
         let (clock, gate, pipes) = (Clock::at(UNIX), Gate::new(64), Pipes::default());
+        let agent = tokio::sync::watch::Sender::new("agent".to_owned());
         match first {
             "front platform" | "front platform watching agent" => {
                 let json = serde_json::from_str(include_str!("platform.json")).expect("JSON");
@@ -169,12 +172,14 @@
                     broker(config.contracts, &config.known.expect("a list"), clock, &pipes, Form::Frames);
                 let workers = Workers::new(broker.clone(), Rc::new(pipes.clone()), 16);
                 if first.ends_with("agent") {
-                    pipes.0.borrow_mut().insert("agent".to_owned(), Party::new(Form::Requests));
-                    let (dial, watcher) = (pipes.clone(), broker.clone());
-                    spawn_local(async move { watch::follow(&dial, "agent", &watcher).await });
+                    for name in ["agent", "agent2"] {
+                        pipes.0.borrow_mut().insert(name.to_owned(), Party::new(Form::Requests));
+                    }
+                    let (dial, watcher, address) = (pipes.clone(), broker.clone(), agent.subscribe());
+                    spawn_local(async move { watch::follow(&dial, address, &watcher).await });
                 }
                 let front = Platform { broker: broker.clone(), gate: gate.clone() };
-                run(rest, broker, workers, front, gate, pipes).await
+                run(rest, broker, workers, front, gate, pipes, agent).await
             }
             "front opensearch" => {
                 let file = FrontFile::parse(include_str!("opensearch.toml"), 7).expect("a file");
@@ -182,7 +187,7 @@
                 let servers = IndexServers::new(broker.clone(), Rc::new(pipes.clone()));
                 let front =
                     OpenSearch::new(broker.clone(), clock, gate.clone(), file.names, "start-1".to_owned(), 7);
-                run(rest, broker, servers, front, gate, pipes).await
+                run(rest, broker, servers, front, gate, pipes, agent).await
             }
             other => panic!("unknown first line {other:?}"),
         }
@@ -205,12 +210,13 @@
     front: F,
     gate: Rc<Gate>,
     pipes: Pipes,
+    agent: tokio::sync::watch::Sender<String>,
 ) -> String {
     let driver = broker.clone();
     spawn_local(async move { driver.drive(&carrier).await });
     let (start, front) = (Instant::now(), Rc::new(front));
     let (transcript, seen) = (String::new(), String::new());
-    let mut play = Play { pipes, start, transcript, seen, broker, gate };
+    let mut play = Play { pipes, start, transcript, seen, broker, gate, agent };
     for (number, line) in script.lines().enumerate().filter(|(_, line)| !line.is_empty()) {
         let words = play.fill(line);
         let _ = writeln!(play.transcript, "{words}");
@@ -289,6 +295,10 @@
                 .broker
                 .learn(&Listing { revision: 2, complete: false, members: vec![member] }, false);
         }
+        if who == "SIGHUP" {
+            self.agent.send_replace(what.to_owned());
+            return;
+        }
         if who == "SIGTERM" {
             return self.gate.enter(Phase::Stopping);
         }
