--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -77,6 +77,10 @@
     if length == 0 || length > LONGEST {
         return Err(Malformed::Length(length));
     }
+    // Guards against waiting for the rest of what is no frame.
+    if let Some(letter) = buffer.get(4).filter(|letter| !matches!(letter, b'q' | b'r')) {
+        return Err(Malformed::Kind(char::from(*letter)));
+    }
     if buffer.len() < 4 + length {
         return Ok(None);
     }
@@ -109,15 +113,13 @@
     if outcome == Outcome::Done && std::str::from_utf8(value).is_err() {
         return Err(Malformed::Line("a value that is no text"));
     }
-    let report = report(load, fields).ok_or(Malformed::Line("unreadable report"))?;
+    // Guards against losing a good answer for a load report that cannot be read.
+    let report = report(load, fields);
     Ok(Incoming::Answer { id: id.to_owned(), outcome, value: Bytes::copy_from_slice(value), report })
 }
 
-/// A load report by name, put in the order of the settings; the inner `None` where there is none.
-fn report(text: &str, fields: &[Field]) -> Option<Option<Report>> {
-    if text == "-" {
-        return Some(None);
-    }
+/// A load report by name, put in the order of the settings; `None` where there is none, or none that can be read.
+fn report(text: &str, fields: &[Field]) -> Option<Report> {
     let mut row = vec![None; fields.len()];
     for item in text.split(',') {
         let (name, value) = item.split_once('=')?;
@@ -127,7 +129,7 @@
             row[at] = Some(value);
         }
     }
-    Some(Some(row))
+    Some(row)
 }
 
 /// The value that a report calls by this name, in the words of sockets or of the simulator.
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -67,6 +67,8 @@
     pub text: Bytes,
     /// How long it will be waited for.
     pub timeout: Duration,
+    /// It may not run a second time: what spoils the answers of others is not to spoil its own.
+    pub once: bool,
 }
 
 /// How an attempt ended, as a transport reports it.
@@ -166,6 +168,7 @@
 struct Held {
     label: Arc<str>,
     text: Bytes,
+    once: bool,
     valid_until: Time,
     parts: Vec<RequestId>,
 }
@@ -258,7 +261,9 @@
         let valid_until = now.after(ask.left);
         let (class, tenant, retry) = (ask.class, ask.tenant, ask.retry);
         self.inbox.push(Event::Query(NewQuery { id, class, tenant, valid_until, job, retry }));
-        let mut held = Held { label: ask.label, text: ask.text, valid_until, parts: Vec::new() };
+        let once =
+            self.contracts.settings.classes.get(class.0).is_none_or(|c| c.effect != Effect::Repeatable);
+        let mut held = Held { label: ask.label, text: ask.text, once, valid_until, parts: Vec::new() };
         for AskPart { shard, weight, hint, key } in ask.parts {
             let part = RequestId(self.id());
             self.inbox.push(Event::Part(NewPart { id: part, key, hint, job, shard, weight }));
@@ -442,7 +447,7 @@
         let timeout = timeout.min(query.valid_until.since(now));
         self.flights.insert(ticket, Flight { leaf, sent: now, deadline: now.after(timeout) });
         let (label, text) = (query.label.clone(), query.text.clone());
-        let dispatch = Dispatch { ticket, label, shard: part.shard, text, timeout };
+        let dispatch = Dispatch { ticket, label, shard: part.shard, text, timeout, once: query.once };
         match calls.iter_mut().find(|(to, _)| *to == leaf) {
             Some((_, parts)) => parts.push(dispatch),
             None => calls.push((leaf, vec![dispatch])),
--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -17,8 +17,10 @@
 const MOST_LINES: usize = 4;
 /// Share of the worker's idle time after which a line is closed from this side.
 const IDLE_SHARE: f64 = 0.6;
-/// Silence after a written call, ended by its time-out, from which a line counts as dead.
-const SILENT: Duration = Duration::from_secs(1);
+/// Share of the shortest aim that is silence, where a written call waits: some 1 s of 2.5 s.
+const SILENT: f64 = 0.4;
+/// Ids answered or given up that a line remembers: what is heard of them again harms nothing.
+const MOST_PAST: usize = 256;
 /// Reading takes at most so much at once.
 const READ: usize = 16 * 1024;
 
@@ -31,6 +33,8 @@
     dial: Rc<dyn Dial>,
     limits: Limits,
     most_lines: usize,
+    /// Silence after a written call, ended by its time-out, from which a line counts as dead.
+    silence: Duration,
     fields: Vec<Field>,
     links: RefCell<HashMap<LeafId, Link>>,
 }
@@ -49,6 +53,8 @@
     address: String,
     frames: RefCell<VecDeque<Frame>>,
     calls: RefCell<HashMap<String, Call>>,
+    /// Ids that were answered or given up, the latest last.
+    past: RefCell<VecDeque<String>>,
     /// When anything was last read; takes no new calls once it is retired.
     heard: Cell<Instant>,
     retired: Cell<bool>,
@@ -64,23 +70,46 @@
 
 struct Call {
     ticket: Ticket,
+    once: bool,
     written: Option<Instant>,
 }
 
+/// How a line ended.
+enum Cut {
+    /// The connection ended, or was ended while nothing was out on it.
+    Closed(String),
+    /// The worker sent what is no answer: nothing further on the connection can be trusted.
+    Spoilt(String),
+}
+
 impl Line {
     fn new(address: &str) -> Line {
         Line {
             address: address.to_owned(),
             frames: RefCell::default(),
             calls: RefCell::default(),
+            past: RefCell::default(),
             heard: Cell::new(Instant::now()),
             retired: Cell::new(false),
             news: Notify::new(),
         }
     }
 
-    fn room(&self, parts: usize, most: usize) -> bool {
-        !self.retired.get() && self.calls.borrow().len() + parts <= most
+    /// Whether these parts may go on this line. Guards against taking a late answer to a part that was given up for
+    /// one to its further attempt, and against losing a part that runs once to an answer spoilt for another.
+    fn room(&self, parts: &[Dispatch], most: usize) -> bool {
+        let (calls, past) = (self.calls.borrow(), self.past.borrow());
+        let shares = || !parts.iter().any(|part| part.once) && !calls.values().any(|call| call.once);
+        let new = || parts.iter().all(|part| !past.contains(&frame::part_id(&part.label, part.shard.0)));
+        !self.retired.get() && (calls.is_empty() || calls.len() + parts.len() <= most && shares()) && new()
+    }
+
+    fn remember(&self, id: String) {
+        let mut past = self.past.borrow_mut();
+        if past.len() >= MOST_PAST {
+            past.pop_front();
+        }
+        past.push_back(id);
     }
 
     fn push(&self, parts: &[Dispatch]) {
@@ -88,7 +117,7 @@
         let mut ids = Vec::with_capacity(parts.len());
         for part in parts {
             let id = frame::part_id(&part.label, part.shard.0);
-            calls.insert(id.clone(), Call { ticket: part.ticket, written: None });
+            calls.insert(id.clone(), Call { ticket: part.ticket, once: part.once, written: None });
             ids.push(id);
         }
         self.frames.borrow_mut().push_back(Frame { rest: frame::call(parts), begun: false, ids });
@@ -120,7 +149,7 @@
 
     /// Lets go of an attempt; false if it is not on this line. A call of which no byte is written stays here,
     /// of another the worker is told.
-    fn abandon(&self, ticket: Ticket) -> bool {
+    fn abandon(&self, ticket: Ticket, silence: Duration) -> bool {
         let mut calls = self.calls.borrow_mut();
         let id = calls.iter().find(|(_, call)| call.ticket == ticket).map(|(id, _)| id.clone());
         let Some(id) = id else { return false };
@@ -132,11 +161,12 @@
         let before = frames.len();
         frames.retain(|frame| !gone(frame));
         if frames.len() == before {
+            self.remember(id.clone());
             frames.push_back(Frame { rest: frame::give_up(&id), begun: false, ids: Vec::new() });
         }
         // Guards against machines that vanished: their connections stay open, and swallow what is written.
         let written = call.and_then(|call| call.written);
-        if written.is_some_and(|at| self.heard.get() < at && at.elapsed() >= SILENT) {
+        if written.is_some_and(|at| self.heard.get() < at && at.elapsed() >= silence) {
             self.retired.set(true);
         }
         self.news.notify_one();
@@ -165,9 +195,13 @@
 impl Workers {
     /// No connections yet; they are opened as calls need them, so many at most.
     pub fn new(broker: Broker, dial: Rc<dyn Dial>, most_lines: usize) -> Workers {
-        let (limits, fields) =
-            broker.core(|core| (core.contracts().limits.clone(), core.contracts().settings.fields.clone()));
-        Workers(Rc::new(Shared { broker, dial, limits, most_lines, fields, links: RefCell::default() }))
+        let contracts = broker.core(|core| core.contracts().clone());
+        let (limits, settings) = (contracts.limits, contracts.settings);
+        // Guards against writing on into a machine that vanished: silence is judged by what answers may take here.
+        let aims = settings.classes.iter().map(|class| class.aim);
+        let silence = aims.min().unwrap_or_default().mul_f64(SILENT);
+        let (fields, links) = (settings.fields, RefCell::default());
+        Workers(Rc::new(Shared { broker, dial, limits, most_lines, silence, fields, links }))
     }
 
     fn end_all(&self, tickets: Vec<Ticket>, outcome: Outcome) {
@@ -181,7 +215,7 @@
     }
 
     /// The line for a call: one with room, else a new one, else the one with least to do.
-    fn line(&self, leaf: LeafId, parts: usize) -> Option<Rc<Line>> {
+    fn line(&self, leaf: LeafId, parts: &[Dispatch]) -> Option<Rc<Line>> {
         let mut links = self.0.links.borrow_mut();
         let in_all: usize = links.values().map(|link| link.lines.len()).sum();
         let link = links.get_mut(&leaf).filter(|link| link.open)?;
@@ -202,7 +236,11 @@
     async fn run(self, leaf: LeafId, line: Rc<Line>) {
         let why = match dial_within(&*self.0.dial, &line.address, self.0.limits.connect_timeout).await {
             Ok(stream) => self.serve(stream, &line).await,
-            Err(error) => format!("cannot connect: {error}"),
+            Err(error) => Cut::Closed(format!("cannot connect: {error}")),
+        };
+        let (why, written) = match why {
+            Cut::Closed(why) => (why, Outcome::Reset),
+            Cut::Spoilt(why) => (why, Outcome::Error),
         };
         line.retired.set(true);
         let mut links = self.0.links.borrow_mut();
@@ -217,42 +255,56 @@
         // After a frame's last byte its parts may have run; before that none can have.
         let calls = line.calls.take();
         for call in calls.into_values() {
-            let outcome = if call.written.is_some() { Outcome::Reset } else { Outcome::Refused };
+            let outcome = if call.written.is_some() { written } else { Outcome::Refused };
             self.0.broker.ended(call.ticket, End::bare(outcome));
         }
     }
 
     /// Writes frames and reads answers until the connection ends; says why it did.
-    async fn serve(&self, stream: Box<dyn Stream>, line: &Line) -> String {
+    async fn serve(&self, stream: Box<dyn Stream>, line: &Line) -> Cut {
         let (mut read, mut write) = tokio::io::split(stream);
         let mut buffer = BytesMut::new();
         let idle = self.0.limits.conn_idle.mul_f64(IDLE_SHARE);
         let mut used = Instant::now();
+        // When the frame that is not all there began.
+        let mut begun = None;
         loop {
             if line.quiet() && line.retired.get() {
-                return "retired".to_owned();
+                return Cut::Closed("retired".to_owned());
             }
             let front = line.front();
+            // Guards against answers that never end: the rest of a frame may take as long as a connection may.
+            let rest = begun.unwrap_or(used) + self.0.limits.connect_timeout;
             buffer.reserve(READ.saturating_sub(buffer.len()).max(1024));
             tokio::select! {
                 biased;
                 count = read.read_buf(&mut buffer) => match count {
-                    Ok(0) => return "closed by the worker".to_owned(),
+                    Ok(0) => return Cut::Closed("closed by the worker".to_owned()),
                     Ok(_) => {
                         line.heard.set(Instant::now());
-                        if let Err(error) = self.answers(&mut buffer, line) {
-                            return error;
+                        let before = buffer.len();
+                        if let Err(cut) = self.answers(&mut buffer, line) {
+                            return cut;
                         }
+                        begun = match buffer.is_empty() {
+                            true => None,
+                            false => begun.filter(|_| buffer.len() == before).or(Some(Instant::now())),
+                        };
                     }
-                    Err(error) => return error.to_string(),
+                    Err(error) => return Cut::Closed(error.to_string()),
                 },
                 count = write.write(front.as_deref().unwrap_or_default()), if front.is_some() => match count {
-                    Ok(0) => return "closed by the worker".to_owned(),
+                    Ok(0) => return Cut::Closed("closed by the worker".to_owned()),
                     Ok(count) => line.wrote(count),
-                    Err(error) => return error.to_string(),
+                    Err(error) => return Cut::Closed(error.to_string()),
                 },
                 () = line.news.notified() => {}
-                () = tokio::time::sleep_until(used + idle), if line.quiet() => return "idle".to_owned(),
+                () = tokio::time::sleep_until(rest), if begun.is_some() => {
+                    return Cut::Spoilt("a frame that does not end".to_owned());
+                }
+                () = tokio::time::sleep_until(used + idle), if line.quiet() => {
+                    return Cut::Closed("idle".to_owned());
+                }
             }
             if !line.quiet() {
                 used = Instant::now();
@@ -261,19 +313,33 @@
     }
 
     /// Books every answer that is whole in the buffer.
-    fn answers(&self, buffer: &mut BytesMut, line: &Line) -> Result<(), String> {
+    fn answers(&self, buffer: &mut BytesMut, line: &Line) -> Result<(), Cut> {
         loop {
+            // Guards against noise behind a good answer: where nothing is out it harms nothing, and the connection
+            // is closed before a call is lost to it.
+            let cut = |why: String| match line.calls.borrow().is_empty() {
+                true => Err(Cut::Closed(why)),
+                false => Err(Cut::Spoilt(why)),
+            };
             match frame::take(buffer, &self.0.fields) {
                 Ok(Some(Incoming::Answer { id, outcome, value, report })) => {
-                    // Unknown ids are late answers to parts that were given up.
                     let call = line.calls.borrow_mut().remove(&id);
                     if let Some(call) = call {
+                        line.remember(id);
                         self.0.broker.ended(call.ticket, End { outcome, value, report });
+                    } else if !line.past.borrow().contains(&id) {
+                        // Guards against waiting for a part whose answer came under another id.
+                        return cut("an answer to nothing that was asked".to_owned());
                     }
                 }
-                Ok(Some(Incoming::Rejected(words))) => return Err(format!("a frame was refused: {words:?}")),
+                Ok(Some(Incoming::Rejected(words))) => {
+                    return Err(Cut::Closed(format!("a frame was refused: {words:?}")));
+                }
+                Ok(None) if !buffer.is_empty() && line.calls.borrow().is_empty() => {
+                    return cut("more than its answers".to_owned());
+                }
                 Ok(None) => return Ok(()),
-                Err(error) => return Err(error.to_string()),
+                Err(error) => return cut(error.to_string()),
             }
         }
     }
@@ -321,7 +387,7 @@
     }
 
     fn call(&self, leaf: LeafId, parts: Vec<Dispatch>) {
-        match self.line(leaf, parts.len()) {
+        match self.line(leaf, &parts) {
             Some(line) => line.push(&parts),
             None => self.end_all(parts.iter().map(|part| part.ticket).collect(), Outcome::Skipped),
         }
@@ -330,7 +396,8 @@
     fn abandon(&self, leaf: LeafId, ticket: Ticket) {
         let links = self.0.links.borrow();
         if let Some(link) = links.get(&leaf) {
-            link.lines.iter().any(|line| line.abandon(ticket));
+            let silence = self.0.silence;
+            link.lines.iter().any(|line| line.abandon(ticket, silence));
         }
     }
 }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -302,6 +302,8 @@
         if who == "SIGTERM" {
             return self.gate.enter(Phase::Stopping);
         }
+        // `NAME.N` speaks on the party's Nth connection, `NAME` on the one that is next.
+        let (who, number) = who.split_once('.').map_or((who, None), |(who, at)| (who, at.parse().ok()));
         let mut parties = self.pipes.0.borrow_mut();
         let party = parties.entry(who.to_owned()).or_insert_with(|| Party::new(Form::Responses));
         if matches!(party.form, Form::Responses) && !matches!(party.lines.last(), Some(Some(_))) {
@@ -311,6 +313,7 @@
             spawn_local(async move { listener::serve(near, &*front, &gate).await });
         }
         let bytes = match party.form {
+            Form::Frames if what.starts_with("raw ") => what[4..].replace("\\0", "\0").into_bytes(),
             Form::Frames => {
                 let mut bytes = BytesMut::new();
                 let what = what.replacen(' ', "", 1);
@@ -337,7 +340,11 @@
                 format!("{text}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
             }
         };
-        let line = party.line().and_then(Option::as_mut).expect("a connection");
+        let line = match number {
+            Some(number) => party.lines.get_mut::<usize>(number),
+            None => party.line(),
+        };
+        let line = line.and_then(Option::as_mut).expect("a connection");
         line.say.send(bytes).expect("an open connection");
     }
 
