Serve whoever still comes after SIGTERM; bound the time of a client's request

They are served now for 0.6 s, each connection closed behind its answer; only then nothing new is taken. transport/listener.rs counted its 10 s anew at every byte, so that a head sent byte by byte held a connection for good; now a request has 2.5 s in all, a silent connection too, an idle one 10 s. A stale call to make room closed idle connections for nothing.

--- a/src/program/platform.rs
+++ b/src/program/platform.rs
@@ -27,7 +27,7 @@
                 return Response::text(400, invalid.to_string());
             }
         };
-        if self.gate.phase() != Phase::Serving {
+        if self.gate.phase() == Phase::Closing {
             self.broker.core(|core| core.counters.refused_stopping += 1);
             return platform::refusal(Some(STOPPING_PAUSE));
         }
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -20,8 +20,9 @@
 
 /// Descriptors that the second front reckons with.
 const SOCKETS: usize = 1024;
-/// After SIGTERM, the time in which clients still connect and are told to go elsewhere.
-const LINGER: Duration = Duration::from_millis(800);
+/// After SIGTERM, the time in which who still comes is served: the front layer goes on sending for up to 0.4 s, the end
+/// is due only past the longest deadline, and a refusal would be the client's loss.
+const LINGER: Duration = Duration::from_millis(600);
 /// How often the end looks whether all is answered.
 const LOOK: Duration = Duration::from_millis(10);
 /// Time past the longest deadline after which the end no longer waits for a client to read its answer.
@@ -131,7 +132,7 @@
     Ok(())
 }
 
-/// Takes nothing new, and returns once all that was taken is answered.
+/// Sees out those who still come, takes nothing new, and returns once all that was taken is answered.
 async fn wind_up(broker: &Broker, gate: &Gate, longest: Duration) {
     log::info!("stopping: {} connections are open", gate.open());
     gate.enter(Phase::Stopping);
--- a/src/protocol/http.rs
+++ b/src/protocol/http.rs
@@ -58,7 +58,11 @@
     pub fn get(&self, name: &str) -> Option<&str> {
         self.0.iter().find(|field| field.0.eq_ignore_ascii_case(name)).map(|field| field.1.as_str())
     }
-    fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+    /// Whether there is more than one field of this name.
+    pub fn repeats(&self, name: &str) -> bool {
+        self.all(name).nth(1).is_some()
+    }
+    fn all(&self, name: &str) -> impl Iterator<Item = &str> {
         self.0.iter().filter(move |field| field.0.eq_ignore_ascii_case(name)).map(|field| field.1.as_str())
     }
     fn lists(&self, name: &str, token: &str) -> bool {
@@ -266,8 +270,10 @@
 ) -> Result<Option<(Bytes, usize)>, Malformed> {
     let mut lengths = headers.all("Content-Length");
     let length = lengths.next();
-    if let Some(coding) = headers.get("Transfer-Encoding") {
-        if length.is_some() || !coding.eq_ignore_ascii_case("chunked") {
+    let mut codings = headers.all("Transfer-Encoding");
+    if let Some(coding) = codings.next() {
+        // Guards against a request that hides in the body of another.
+        if length.is_some() || codings.next().is_some() || !coding.eq_ignore_ascii_case("chunked") {
             return Err(Malformed::Coding);
         }
         return chunks(rest, most);
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -13,6 +13,9 @@
 /// The longest that a client may wait, whatever its class: an hour.
 const LONGEST_BUDGET_MS: u64 = 3_600_000;
 
+/// The header fields of a query.
+const FIELDS: [&str; 6] = ["X-Call-Id", "X-Call-Class", "X-Caller", "X-Budget-Ms", "X-Route-Hash", "X-Again"];
+
 /// Why a request is no query; the text goes to the client.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum Invalid {
@@ -59,6 +62,10 @@
     let must = |name| field(name).ok_or(Invalid::Missing(name));
     let invalid = |name, what: &str| Invalid::Field(name, what.to_owned());
 
+    // Guards against fields that say two things: one party could read the first, another the last.
+    if let Some(name) = FIELDS.into_iter().find(|name| request.headers.repeats(name)) {
+        return Err(invalid(name, "given twice"));
+    }
     let id = must("X-Call-Id")?;
     if id.len() > LONGEST_ID || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
         return Err(invalid("X-Call-Id", "not a short word"));
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -10,11 +10,15 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
-/// Time for the rest of a request after its first byte, and for a client to take its response.
-const SLOW: Duration = Duration::from_secs(10);
+/// Time from a connection's start, or from a later request's first byte, until that request is all there; and for a
+/// client to take its response.
+const SLOW: Duration = Duration::from_millis(2500);
 /// Time that a connection may stay open between requests.
-const IDLE: Duration = Duration::from_secs(120);
+const IDLE: Duration = Duration::from_secs(10);
+/// Time for a client to take what is said last on its connection.
+const LAST: Duration = Duration::from_millis(400);
 /// Pause after a failed accept: without one, a process out of descriptors would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// What a client may have sent ahead of the response that it waits for.
@@ -35,9 +39,9 @@
 pub enum Phase {
     /// It serves.
     Serving,
-    /// It takes nothing new, but tells who still comes.
+    /// It is no longer healthy, serves who still comes, and closes each connection behind its answer.
     Stopping,
-    /// It closes connections as they fall idle.
+    /// It takes nothing new, and closes connections as they fall idle.
     Closing,
 }
 
@@ -104,6 +108,8 @@
                     gate.crowded.notify_one();
                     gate.freed.notified().await;
                 }
+                // Guards against a call to make room that outlives its cause and closes a connection for nothing.
+                std::pin::pin!(gate.crowded.notified()).enable();
                 gate.open.set(gate.open.get() + 1);
                 let (front, place) = (front.clone(), Place(gate.clone()));
                 tokio::task::spawn_local(async move { serve(stream, &*front, &place.0).await });
@@ -120,6 +126,8 @@
 pub async fn serve<F: Front>(stream: impl Stream, front: &F, gate: &Gate) {
     let (mut read, mut write) = tokio::io::split(stream);
     let mut buffer = BytesMut::new();
+    let mut first = true;
+    let mut since = Instant::now();
     loop {
         let mut told = false;
         let request = loop {
@@ -128,7 +136,9 @@
                 Ok(None) => {}
                 Err(error) => {
                     let bytes = front.malformed(error).encode(true);
-                    if write.write_all(&bytes).await.is_ok() && write.shutdown().await.is_ok() {
+                    let end =
+                        async { write.write_all(&bytes).await.is_ok() && write.shutdown().await.is_ok() };
+                    if tokio::time::timeout(LAST, end).await == Ok(true) {
                         drain(&mut read).await;
                     }
                     return;
@@ -141,15 +151,28 @@
                 }
             }
             let fresh = buffer.is_empty();
+            // Guards against clients that say nothing, or never finish what they began, a byte at a time.
+            let until = since + if fresh && !first { IDLE } else { SLOW };
             buffer.reserve(READ);
             tokio::select! {
                 biased;
-                count = read.read_buf(&mut buffer) => if !matches!(count, Ok(1..)) { return },
+                count = read.read_buf(&mut buffer) => match count {
+                    Ok(1..) if fresh && !first => since = Instant::now(),
+                    Ok(1..) => {}
+                    _ => return,
+                },
                 () = gate.crowded.notified(), if fresh => return,
                 () = gate.closing(), if fresh => return,
-                () = tokio::time::sleep(if fresh { IDLE } else { SLOW }) => return,
+                () = tokio::time::sleep_until(until), if fresh => return,
+                () = tokio::time::sleep_until(until) => {
+                    let bytes = Response::text(408, "the request did not end in time").encode(true);
+                    // Whether the client takes it or not, the connection ends.
+                    let _ = tokio::time::timeout(LAST, write.write_all(&bytes)).await;
+                    return;
+                }
             }
         };
+        first = false;
         let (keep_alive, bodiless) = (request.keep_alive, request.method == "HEAD");
         let response = tokio::select! {
             biased;
@@ -165,6 +188,7 @@
         if !matches!(written, Ok(Ok(()))) {
             return;
         }
+        since = Instant::now();
         if close {
             if write.shutdown().await.is_ok() {
                 drain(&mut read).await;
@@ -197,5 +221,5 @@
         }
     };
     // Either way the connection ends here.
-    let _ = tokio::time::timeout(Duration::from_millis(500), rest).await;
+    let _ = tokio::time::timeout(LAST, rest).await;
 }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -300,7 +300,7 @@
             return;
         }
         if who == "SIGTERM" {
-            return self.gate.enter(Phase::Stopping);
+            return self.gate.enter(if what.is_empty() { Phase::Stopping } else { Phase::Closing });
         }
         // `NAME.N` speaks on the party's Nth connection, `NAME` on the one that is next.
         let (who, number) = who.split_once('.').map_or((who, None), |(who, at)| (who, at.parse().ok()));
