Judge lost answers by class, and keep parts that run once from leaves that lose them

A probe of attempts by class and worker: six of twelve workers answered every part of the other classes and almost none of seal-record (8 lost of 9, 19 of 20). At fault: rules.rs judge_outcome counted a loss only where a worker had answered nothing since, so these never counted; a loss weighed the same for what can be sent again as for what cannot; parts that run once served as trials of suspects.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,8 +47,7 @@
 /// Seconds over which a leaf's own answers are averaged: load changes faster than its machine.
 const SPAN: f64 = 5.0;
 /// Share of the time to the aim inside which a query must be expected where leaves are busy: guesses err, and
-/// a query lost late wastes the work of all its parts. Not where a partial answer counts: a late part then
-/// costs its share.
+/// one lost late wastes all its work. Not where a partial answer counts: a late part then costs its share.
 const ADMIT: f64 = 0.7;
 /// The same share where leaves have room: a guess that errs costs little there, for a better replica is soon
 /// found. And the mean utilizations between which it falls to the other.
@@ -63,6 +62,8 @@
 /// Weight of one attempt in the share that a leaf loses, so that one loss alone counts for nothing, and the
 /// seconds in which it fades: a path mends in tens of seconds, and a leaf that is left alone cannot show it.
 const LOSS_GAIN: f64 = 0.3;
+/// Later attempts answered by the same leaf from which an overdue one is in no queue: one proves nothing.
+const OVERTAKEN: u32 = 2;
 const LOSS_SPAN: f64 = 10.0;
 /// Parts of own work by which a replica may lag behind the soonest before that counts in its cost.
 const LAG: f64 = 0.3;
@@ -92,8 +93,18 @@
     fn opens(&self, settings: &Settings) -> f64 {
         if self.call_room == 0 { seconds(settings.call_work) } else { 0.0 }
     }
-    fn loss(&self, now: Time) -> f64 {
-        self.lost * (-seconds(now.since(self.lost_at)) / LOSS_SPAN).exp()
+    /// Share of a class's attempts that it loses, or of all if that is more.
+    fn loss(&self, now: Time, class: ClassId) -> f64 {
+        let share = |key| self.lost.get(&key).map_or(0.0, |row| faded(*row, now));
+        share(None).max(share(Some(class)))
+    }
+    /// Guards against leaves that lose a share of the attempts, or one class alone: an answer clears a suspect, not this.
+    fn judge(&mut self, now: Time, class: ClassId, lost: bool) {
+        for key in [None, Some(class)] {
+            let row = self.lost.entry(key).or_default();
+            let before = faded(*row, now);
+            *row = (before + LOSS_GAIN * (f64::from(u8::from(lost)) - before), now);
+        }
     }
     fn distrust(&mut self, now: Time) {
         if self.suspect.is_none() {
@@ -102,6 +113,10 @@
     }
 }
 
+fn faded((share, at): (f64, Time), now: Time) -> f64 {
+    share * (-seconds(now.since(at)) / LOSS_SPAN).exp()
+}
+
 enum Ending {
     Answer { whole: bool },
     Abandon { pause: Duration },
@@ -400,7 +415,10 @@
         let mut open: Vec<(LeafId, f64, &Leaf)> =
             row.iter().filter_map(|(id, m)| Some((*id, *m, self.leaves.get(id)?))).collect();
         // Health filters only while a trusted replica is left: a root never shuts a whole shard out.
-        let trial = |leaf: &Leaf| leaf.out.is_empty() && leaf.answers_probes && self.trials < TRIALS;
+        // What may not be sent again goes to no suspect on trial.
+        let once = self.class(part.class).is_none_or(|class| class.effect != Effect::Repeatable);
+        let aim_at = self.queries.get(&part.query).map_or(self.now, |query| query.aim_at);
+        let trial = |leaf: &Leaf| !once && leaf.out.is_empty() && leaf.answers_probes && self.trials < TRIALS;
         let trusted = |leaf: &Leaf| leaf.suspect.is_none_or(|(next, _)| next <= self.now && trial(leaf));
         if open.iter().any(|(_, _, leaf)| trusted(leaf)) {
             open.retain(|(_, _, leaf)| trusted(leaf));
@@ -429,7 +447,13 @@
             // Departure "lag": acts when a replica would answer later than the soonest by LAG of own work.
             let lag = (expect(leaf) - soonest - LAG * part.work).max(0.0);
             // Departure "loss": acts once more than one answer stayed out; the time until that is seen.
-            let loss = (leaf.loss(self.now) - LOSS_GAIN).max(0.0) * (expect(leaf) + self.spread());
+            // What may not be sent again waits in vain until its aim, and one loss counts.
+            let loss = match once {
+                true => leaf.loss(self.now, part.class) * seconds(aim_at.since(self.now)),
+                false => {
+                    (leaf.loss(self.now, part.class) - LOSS_GAIN).max(0.0) * (expect(leaf) + self.spread())
+                }
+            };
             let vote = if part.key.is_none() && split.is_some_and(|to| to.0 == *id) { 0.0 } else { vote };
             // Departure "crossing": acts where crossing zones has a price; in work that costs the same.
             let crosses = leaf.entry.zone != self.settings.zone;
@@ -655,7 +679,16 @@
         }
         let number = AttemptNo(part.attempts.len() as u32);
         let (sent, work, ahead) = (self.now, part.work, leaf.owed);
-        part.attempts.push(Attempt { leaf: to, sent, expected, work, ahead, outcome: None });
+        part.attempts.push(Attempt {
+            leaf: to,
+            sent,
+            expected,
+            work,
+            ahead,
+            overtaken: 0,
+            missed: false,
+            outcome: None,
+        });
         leaf.out.insert((sent, id, number));
         leaf.sent.retain(|(at, _)| self.now.since(*at) <= self.settings.warm_up);
         leaf.sent.push_back((sent, work + leaf.opens(&self.settings)));
@@ -673,8 +706,7 @@
         let class = part.class;
         let Some(attempt) = part.attempts.get_mut(end.attempt.0 as usize).filter(|a| a.out()) else { return };
         attempt.outcome = Some(outcome);
-        let (sent, work, ahead) = (attempt.sent, attempt.work, attempt.ahead);
-        let expected = attempt.expected;
+        let Attempt { sent, expected, work, ahead, missed, .. } = *attempt;
         part.done |= outcome == Outcome::Done;
         // Guards against jams: the more attempts are lost, the less wait a query is admitted to.
         let lost = f64::from(u8::from(matches!(outcome, Outcome::Busy | Outcome::TimedOut)));
@@ -701,7 +733,18 @@
             }
         }
         let overdue = seconds(self.now.since(sent)) > expected + self.spread();
-        self.judge_outcome(end.leaf, sent, outcome, work, overdue);
+        match (self.leaves.get_mut(&end.leaf), outcome) {
+            _ if self.stalled => {}
+            (_, Outcome::Done) => self.overtake(end.leaf, class, sent),
+            // Counted where nothing was answered since, else where it was overtaken: it may be a queue.
+            (Some(leaf), Outcome::TimedOut | Outcome::Cancelled)
+                if overdue && !missed && leaf.last_done < sent =>
+            {
+                leaf.judge(self.now, class, true);
+            }
+            _ => {}
+        }
+        self.judge_outcome(end.leaf, outcome, work);
         if let Some(report) = end.report {
             self.learn_report(end.leaf, &report);
         }
@@ -776,17 +819,26 @@
         }
     }
 
-    fn judge_outcome(&mut self, id: LeafId, sent: Time, outcome: Outcome, work: f64, overdue: bool) {
-        let now = self.now;
+    /// Books an answer, and as lost what is overdue while later ones are answered: it is in no queue.
+    fn overtake(&mut self, id: LeafId, class: ClassId, sent: Time) {
+        let (now, spread) = (self.now, self.spread());
         let Some(leaf) = self.leaves.get_mut(&id) else { return };
-        // Guards against paths that lose a share of the attempts: an answer clears a suspect, not this share.
-        // Counted only where nothing was answered since: behind answers it may be a queue.
-        let given_up = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
-        let lost = overdue && given_up && leaf.last_done < sent;
-        if !self.stalled && (lost || outcome == Outcome::Done) {
-            let loss = leaf.loss(now);
-            (leaf.lost, leaf.lost_at) = (loss + LOSS_GAIN * (f64::from(u8::from(lost)) - loss), now);
+        leaf.judge(now, class, false);
+        let earlier = leaf.out.range(..(sent, RequestId(0), AttemptNo(0))).copied().collect::<Vec<_>>();
+        for (since, part, number) in earlier {
+            let Some(part) = self.parts.get_mut(&part) else { continue };
+            let Some(attempt) = part.attempts.get_mut(number.0 as usize) else { continue };
+            attempt.overtaken += 1;
+            let overdue = seconds(now.since(since)) > attempt.expected + spread;
+            if overdue && attempt.overtaken >= OVERTAKEN && !std::mem::replace(&mut attempt.missed, true) {
+                leaf.judge(now, part.class, true);
+            }
         }
+    }
+
+    fn judge_outcome(&mut self, id: LeafId, outcome: Outcome, work: f64) {
+        let now = self.now;
+        let Some(leaf) = self.leaves.get_mut(&id) else { return };
         match outcome {
             Outcome::Done => {
                 let gap = seconds(now.since(leaf.last_done)) / SPAN;
@@ -810,7 +862,7 @@
         leaf.probing = false;
         leaf.answers_probes = outcome == Outcome::Done;
         if !leaf.answers_probes {
-            self.judge_outcome(id, self.now, outcome, 0.0, false);
+            self.judge_outcome(id, outcome, 0.0);
         }
         if let Some(report) = report {
             self.learn_report(id, &report);
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 //! stands here. Everything that reads or changes them is in `src/rules.rs`.
 
 use crate::api::*;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// A leaf as this root knows it.
@@ -26,9 +26,8 @@
     pub planned: f64,
     pub last_done: Time,
     pub strikes: u32,
-    /// Share of its attempts that stayed without answer, and when that was last judged.
-    pub lost: f64,
-    pub lost_at: Time,
+    /// Share of attempts that stayed without answer and when that was last judged: of each class, and of all (`None`).
+    pub lost: BTreeMap<Option<ClassId>, (f64, Time)>,
     /// Not to be used before, and the pause that led there; `None` while trusted.
     pub suspect: Option<(Time, Duration)>,
     pub probing: bool,
@@ -46,6 +45,10 @@
     pub expected: f64,
     pub work: f64,
     pub ahead: f64,
+    /// Attempts sent later to the same leaf that were answered sooner.
+    pub overtaken: u32,
+    /// It is booked as lost.
+    pub missed: bool,
     /// How it ended; `None` while it is out.
     pub outcome: Option<Outcome>,
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -498,3 +498,32 @@
     let (calm, busy) = (admitted_at(0.3), admitted_at(1.0));
     assert!(busy > 0 && calm * 10 > busy * 13, "{calm} at 0.3, {busy} at 1.0");
 }
+
+#[test]
+fn a_class_that_a_leaf_loses_is_kept_from_it() {
+    // Six of twelve leaves answered every class but the one that runs once: a quarter of its queries failed.
+    let classes = vec![class(Effect::Repeatable), class(Effect::Once)];
+    let settings = Settings { classes, may_probe: false, ..settings() };
+    let mut root = Root::new(settings, &[1, 2]);
+    let mut served = Vec::new();
+    for round in 0..40 {
+        let key = format!("k{round}");
+        let (_, _, mut events) = root.query(Some(&key), &[0]);
+        if let Some(Event::Query(asked)) = events.first_mut() {
+            asked.class = ClassId(1);
+        }
+        root.turn(events);
+        let once = root.last();
+        served.push(once.leaf);
+        for _ in 0..14 {
+            let (_, parts) = root.ask(Some(&key), &[0]);
+            root.pass(100);
+            let sent: Vec<Sent> = root.sent.iter().filter(|sent| parts.contains(&sent.id)).copied().collect();
+            root.turn(sent.iter().map(|sent| root.end(*sent, Outcome::Done, Some(0.3))).collect());
+        }
+        let outcome = if once.leaf == LeafId(1) { Outcome::TimedOut } else { Outcome::Done };
+        root.turn(vec![root.end(once, outcome, None)]);
+    }
+    let lost = served.iter().filter(|leaf| **leaf == LeafId(1)).count();
+    assert!(lost <= 6, "{lost} of {} went to the leaf that loses them", served.len());
+}
