--- a/src/rules.rs
+++ b/src/rules.rs
@@ -62,9 +62,9 @@
 /// Weight of one attempt in the share that a leaf loses, so that one loss alone counts for nothing, and the
 /// seconds in which it fades: a path mends in tens of seconds, and a leaf that is left alone cannot show it.
 const LOSS_GAIN: f64 = 0.3;
+const LOSS_SPAN: f64 = 10.0;
 /// Later attempts answered by the same leaf from which an overdue one is in no queue: one proves nothing.
 const OVERTAKEN: u32 = 2;
-const LOSS_SPAN: f64 = 10.0;
 /// Parts of own work by which a replica may lag behind the soonest before that counts in its cost.
 const LAG: f64 = 0.3;
 /// Own service times left to the aim at which a copy of a late part has its last chance.
@@ -98,7 +98,7 @@
         let share = |key| self.lost.get(&key).map_or(0.0, |row| faded(*row, now));
         share(None).max(share(Some(class)))
     }
-    /// Guards against leaves that lose a share of the attempts, or one class alone: an answer clears a suspect, not this.
+    /// Guards against leaves that lose a share of the attempts, or one class alone; an answer does not clear it.
     fn judge(&mut self, now: Time, class: ClassId, lost: bool) {
         for key in [None, Some(class)] {
             let row = self.lost.entry(key).or_default();
