Serve on the connections that clients have after SIGTERM, for as long as the end allows

Ruled out: the workers (no reset, no failed connect), discovery (moved at once) (another gatherer up). At fault: transport/listener.rs closed every connection behind its answer from SIGTERM on, and run.rs ended after 0.6 s although the end is due no sooner than 3 s and 0.7 s, and deadlines there are 2 s.

--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -20,9 +20,10 @@
 
 /// Descriptors that the second front reckons with.
 const SOCKETS: usize = 1024;
-/// After SIGTERM, the time in which who still comes is served: the front layer goes on sending for up to 0.4 s, the end
-/// is due only past the longest deadline, and a refusal would be the client's loss.
+/// After SIGTERM, the time in which the front layer still sends clients here, and more: who comes is served.
 const LINGER: Duration = Duration::from_millis(600);
+/// The end is due no sooner than this after LINGER, or than the longest deadline where that is longer.
+const LEAST_GRACE: Duration = Duration::from_secs(3);
 /// How often the end looks whether all is answered.
 const LOOK: Duration = Duration::from_millis(10);
 /// Time past the longest deadline after which the end no longer waits for a client to read its answer.
@@ -136,7 +137,8 @@
 async fn wind_up(broker: &Broker, gate: &Gate, longest: Duration) {
     log::info!("stopping: {} connections are open", gate.open());
     gate.enter(Phase::Stopping);
-    tokio::time::sleep(LINGER).await;
+    // Where deadlines are short, clients keep the connections they have for longer: another gatherer may be down.
+    tokio::time::sleep(LINGER + LEAST_GRACE.saturating_sub(longest)).await;
     gate.enter(Phase::Closing);
     let all_answered = async {
         // A search that runs once goes on without its client, for the outcome is to be known.
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -39,9 +39,9 @@
 pub enum Phase {
     /// It serves.
     Serving,
-    /// It is no longer healthy, serves who still comes, and closes each connection behind its answer.
+    /// It is no longer healthy, but serves who still comes, on the connections that clients have too.
     Stopping,
-    /// It takes nothing new, and closes connections as they fall idle.
+    /// It takes nothing new, closes idle connections, and others behind their answers.
     Closing,
 }
 
@@ -179,7 +179,7 @@
             response = front.respond(request) => response,
             () = gone(&mut read, &mut buffer) => return,
         };
-        let close = !keep_alive || gate.phase() != Phase::Serving;
+        let close = !keep_alive || gate.phase() == Phase::Closing;
         let mut bytes = response.encode(close);
         if bodiless {
             bytes.truncate(bytes.len() - response.body.len());
