A new connection for each part that runs once; one reset no longer bars a worker

Ruled out: handshakes as a cost (p50 unchanged, 0.5% of a core). At fault: transport/workers.rs reused kept connections for what cannot be sent again; rules.rs judge_outcome took a reset for a dead process.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -847,8 +847,8 @@
             }
             Outcome::Error | Outcome::Busy | Outcome::Refused | Outcome::Reset | Outcome::TimedOut => {
                 leaf.strikes += 1;
-                let gone = matches!(outcome, Outcome::Refused | Outcome::Reset);
-                if gone || leaf.strikes >= STRIKES {
+                // One connection that broke may be that alone; a process that died refuses the next.
+                if outcome == Outcome::Refused || leaf.strikes >= STRIKES {
                     leaf.distrust(now);
                 }
                 self.report(id, 1.0);
--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -70,7 +70,6 @@
 
 struct Call {
     ticket: Ticket,
-    once: bool,
     written: Option<Instant>,
 }
 
@@ -96,12 +95,11 @@
     }
 
     /// Whether these parts may go on this line. Guards against taking a late answer to a part that was given up for
-    /// one to its further attempt, and against losing a part that runs once to an answer spoilt for another.
+    /// one to its further attempt.
     fn room(&self, parts: &[Dispatch], most: usize) -> bool {
         let (calls, past) = (self.calls.borrow(), self.past.borrow());
-        let shares = || !parts.iter().any(|part| part.once) && !calls.values().any(|call| call.once);
         let new = || parts.iter().all(|part| !past.contains(&frame::part_id(&part.label, part.shard.0)));
-        !self.retired.get() && (calls.is_empty() || calls.len() + parts.len() <= most && shares()) && new()
+        !self.retired.get() && calls.len() + parts.len() <= most && new()
     }
 
     fn remember(&self, id: String) {
@@ -117,7 +115,7 @@
         let mut ids = Vec::with_capacity(parts.len());
         for part in parts {
             let id = frame::part_id(&part.label, part.shard.0);
-            calls.insert(id.clone(), Call { ticket: part.ticket, once: part.once, written: None });
+            calls.insert(id.clone(), Call { ticket: part.ticket, written: None });
             ids.push(id);
         }
         self.frames.borrow_mut().push_back(Frame { rest: frame::call(parts), begun: false, ids });
@@ -214,16 +212,20 @@
         link.lines.iter().flat_map(|line| line.unsent()).collect()
     }
 
-    /// The line for a call: one with room, else a new one, else the one with least to do.
+    /// The line for a call: one with room, else a new one, else the one with least to do. What runs once gets a new one
+    /// for itself. Guards against kept connections that the worker closes or resets just as a call is written: it may
+    /// have run then, and its query is lost; and against losing it to an answer spoilt for another.
     fn line(&self, leaf: LeafId, parts: &[Dispatch]) -> Option<Rc<Line>> {
+        let once = parts.iter().any(|part| part.once);
         let mut links = self.0.links.borrow_mut();
         let in_all: usize = links.values().map(|link| link.lines.len()).sum();
         let link = links.get_mut(&leaf).filter(|link| link.open)?;
-        if let Some(line) = link.lines.iter().find(|line| line.room(parts, self.0.limits.multiplex)) {
+        let room = |line: &&Rc<Line>| !once && line.room(parts, self.0.limits.multiplex);
+        if let Some(line) = link.lines.iter().find(room) {
             return Some(line.clone());
         }
         let live = link.lines.iter().filter(|line| !line.retired.get());
-        if live.clone().count() < MOST_LINES && in_all < self.0.most_lines {
+        if (once || live.clone().count() < MOST_LINES) && in_all < self.0.most_lines {
             let line = Rc::new(Line::new(&link.address));
             link.lines.push(line.clone());
             tokio::task::spawn_local(self.clone().run(leaf, line.clone()));
@@ -388,7 +390,11 @@
 
     fn call(&self, leaf: LeafId, parts: Vec<Dispatch>) {
         match self.line(leaf, &parts) {
-            Some(line) => line.push(&parts),
+            Some(line) => {
+                line.push(&parts);
+                // A line that carries what runs once takes nothing else, and ends with it.
+                line.retired.set(line.retired.get() || parts.iter().any(|part| part.once));
+            }
             None => self.end_all(parts.iter().map(|part| part.ticket).collect(), Outcome::Skipped),
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -533,3 +533,20 @@
     assert_eq!(root.last().leaf, LeafId(1), "what it answers still goes there");
     assert_eq!(once(&mut root).leaf, LeafId(2), "what it loses does not");
 }
+
+#[test]
+fn one_connection_that_broke_does_not_bar_its_leaf() {
+    // Where connections break now and then, most leaves were suspect at any time, and the worst were left to choose.
+    let mut root = Root::new(Settings { may_probe: false, ..settings() }, &[1, 2]);
+    root.ask(Some("k"), &[0]);
+    let home = root.last().leaf;
+    for (outcome, at_home) in [(Outcome::Done, true), (Outcome::Reset, true), (Outcome::Refused, false)] {
+        root.turn(vec![root.end(root.last(), outcome, Some(0.3))]);
+        // A copy of what broke goes to the other leaf.
+        if outcome != Outcome::Done {
+            root.turn(vec![root.end(root.last(), Outcome::Done, Some(0.3))]);
+        }
+        root.ask(Some("k"), &[0]);
+        assert_eq!(root.last().leaf == home, at_home, "after {outcome:?}");
+    }
+}
