Send no further calls on a connection that has fallen silent

Every trial of such a worker went out on its silent connection. At fault: transport/workers.rs found room on a line under which a call waited unheard, and gave it up only once a call had timed out, at the aim.

--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -17,8 +17,8 @@
 const MOST_LINES: usize = 4;
 /// Share of the worker's idle time after which a line is closed from this side.
 const IDLE_SHARE: f64 = 0.6;
-/// Share of the shortest aim that is silence, where a written call waits: some 1 s of 2.5 s.
-const SILENT: f64 = 0.4;
+/// Share of the shortest aim that is silence, where a written call waits: 250 ms of 2.5 s.
+const SILENT: f64 = 0.1;
 /// Ids answered or given up that a line remembers: what is heard of them again harms nothing.
 const MOST_PAST: usize = 256;
 /// Reading takes at most so much at once.
@@ -33,7 +33,7 @@
     dial: Rc<dyn Dial>,
     limits: Limits,
     most_lines: usize,
-    /// Silence after a written call, ended by its time-out, from which a line counts as dead.
+    /// Silence after a written call from which a line takes no further ones, and is given up with that call.
     silence: Duration,
     fields: Vec<Field>,
     links: RefCell<HashMap<LeafId, Link>>,
@@ -95,9 +95,14 @@
     }
 
     /// Whether these parts may go on this line. Guards against taking a late answer to a part that was given up for
-    /// one to its further attempt.
-    fn room(&self, parts: &[Dispatch], most: usize) -> bool {
+    /// one to its further attempt, and against losing call after call, and the worker's good name, to a connection
+    /// that has fallen silent.
+    fn room(&self, parts: &[Dispatch], most: usize, silence: Duration) -> bool {
         let (calls, past) = (self.calls.borrow(), self.past.borrow());
+        let unheard = |at: Instant| self.heard.get() <= at && at.elapsed() >= silence;
+        if calls.values().filter_map(|call| call.written).any(unheard) {
+            return false;
+        }
         let new = || parts.iter().all(|part| !past.contains(&frame::part_id(&part.label, part.shard.0)));
         !self.retired.get() && calls.len() + parts.len() <= most && new()
     }
@@ -164,7 +169,7 @@
         }
         // Guards against machines that vanished: their connections stay open, and swallow what is written.
         let written = call.and_then(|call| call.written);
-        if written.is_some_and(|at| self.heard.get() < at && at.elapsed() >= silence) {
+        if written.is_some_and(|at| self.heard.get() <= at && at.elapsed() >= silence) {
             self.retired.set(true);
         }
         self.news.notify_one();
@@ -220,7 +225,7 @@
         let mut links = self.0.links.borrow_mut();
         let in_all: usize = links.values().map(|link| link.lines.len()).sum();
         let link = links.get_mut(&leaf).filter(|link| link.open)?;
-        let room = |line: &&Rc<Line>| !once && line.room(parts, self.0.limits.multiplex);
+        let room = |line: &&Rc<Line>| !once && line.room(parts, self.0.limits.multiplex, self.0.silence);
         if let Some(line) = link.lines.iter().find(room) {
             return Some(line.clone());
         }
