--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 //! ```
 
 pub mod api;
+pub mod limits;
 pub mod program;
 pub mod protocol;
 pub mod routing;
--- /dev/null
+++ b/src/limits/descriptors.rs
@@ -0,0 +1,170 @@
+//! One budget of descriptors for all sides of the process: floors, and loans that can be called back.
+
+use std::fmt;
+
+/// Who holds descriptors.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Side {
+    /// Clients' connections.
+    Clients,
+    /// Connections to workers or index servers.
+    Workers,
+    /// The discovery watch.
+    Discovery,
+    /// Files.
+    Files,
+}
+
+/// All sides, in the order of the arrays here.
+pub const SIDES: [Side; 4] = [Side::Clients, Side::Workers, Side::Discovery, Side::Files];
+
+impl fmt::Display for Side {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            Side::Clients => "clients",
+            Side::Workers => "workers",
+            Side::Discovery => "discovery",
+            Side::Files => "files",
+        })
+    }
+}
+
+/// The smallest limit that a process can serve with.
+pub const LEAST: usize = 64;
+/// Descriptors of the watch: one, and a second while it moves.
+const DISCOVERY: usize = 2;
+/// Descriptors of files: the configuration when it is read again, and what writes beside serving.
+const FILES: usize = 4;
+
+/// How a process divides its descriptors.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// Descriptors that there are to divide.
+    pub usable: usize,
+    /// What each side can always have.
+    pub floors: [usize; 4],
+    /// Kept free where that is possible, so that whoever comes has a place before another has left.
+    pub door: usize,
+}
+
+/// A limit too low to serve with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{limit} descriptors, of which {standing} are in use at the start: {} at least are needed", LEAST.max(standing + LEAST / 2))]
+pub struct TooFew {
+    /// What the process may hold.
+    pub limit: usize,
+    /// What it held before any connection.
+    pub standing: usize,
+}
+
+impl Plan {
+    /// Divides `limit` descriptors, of which `standing` (listener, signals, the log, the event queue) are in use for
+    /// good: a third of the rest is the clients' floor and a quarter the workers'.
+    pub fn new(limit: usize, standing: usize) -> Result<Plan, TooFew> {
+        let usable = limit.saturating_sub(standing);
+        if limit < LEAST || usable < LEAST / 2 {
+            return Err(TooFew { limit, standing });
+        }
+        let rest = usable - DISCOVERY - FILES;
+        Ok(Plan { usable, floors: [rest / 3, rest / 4, DISCOVERY, FILES], door: (usable / 32).clamp(2, 16) })
+    }
+}
+
+/// Why there is no descriptor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// One will be free as soon as this side lets a loose one go, which it can do at once.
+    Recall(Side),
+    /// All are in use and none can be called back; the next free one is to be awaited.
+    Full,
+}
+
+/// The descriptors of one process. One is *loose* where it can be closed at no loss (an idle connection) and *firm*
+/// where it cannot (a query is open on it). A side may take whatever is free, for what it holds loosely can be called
+/// back; what it holds firmly counts against its own floor and against what no floor claims. That is how floors stay
+/// free to be had without lying idle.
+#[derive(Clone, Debug)]
+pub struct Descriptors {
+    plan: Plan,
+    held: [usize; 4],
+    firm: [usize; 4],
+}
+
+impl Descriptors {
+    /// All are free.
+    pub fn new(plan: Plan) -> Descriptors {
+        Descriptors { plan, held: [0; 4], firm: [0; 4] }
+    }
+
+    /// How they are divided.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+    /// What a side holds.
+    pub fn held(&self, side: Side) -> usize {
+        self.held[side as usize]
+    }
+    /// What it holds firmly, of that.
+    pub fn firm(&self, side: Side) -> usize {
+        self.firm[side as usize]
+    }
+    /// What nobody holds.
+    pub fn free(&self) -> usize {
+        self.plan.usable - self.held.iter().sum::<usize>()
+    }
+    fn loose(&self, side: usize) -> usize {
+        self.held[side] - self.firm[side]
+    }
+    fn over(&self, side: usize) -> usize {
+        self.held[side].saturating_sub(self.plan.floors[side])
+    }
+
+    /// Takes a descriptor, loosely.
+    pub fn take(&mut self, side: Side) -> Result<(), Denied> {
+        if self.free() == 0 {
+            return Err(self.lender(side).map_or(Denied::Full, Denied::Recall));
+        }
+        self.held[side as usize] += 1;
+        Ok(())
+    }
+
+    /// Who is to let one go for this side: one over its floor with something loose, the one most over it, and this
+    /// side itself before another unless it is under its own floor.
+    pub fn lender(&self, side: Side) -> Option<Side> {
+        let own = side as usize;
+        if self.held[own] >= self.plan.floors[own] && self.loose(own) > 0 {
+            return Some(side);
+        }
+        let others = SIDES.into_iter().filter(|other| *other != side && self.loose(*other as usize) > 0);
+        let other = others.max_by_key(|other| self.over(*other as usize)).filter(|other| {
+            // Guards a side that holds no more than its floor against one that has its own floor already.
+            self.over(*other as usize) > 0
+        });
+        other.or_else(|| (self.loose(own) > 0).then_some(side))
+    }
+
+    /// Whether one that a side holds, or is about to take, may be made firm without touching what floors promise.
+    pub fn may_pin(&self, side: Side) -> bool {
+        let claimed =
+            |at: usize| (self.firm[at] + usize::from(at == side as usize)).max(self.plan.floors[at]);
+        (0..SIDES.len()).map(claimed).sum::<usize>() <= self.plan.usable
+    }
+
+    /// Makes a loose one of this side firm; false, and nothing changes, where floors forbid it.
+    pub fn pin(&mut self, side: Side) -> bool {
+        let may = self.loose(side as usize) > 0 && self.may_pin(side);
+        self.firm[side as usize] += usize::from(may);
+        may
+    }
+
+    /// Makes a firm one loose.
+    pub fn unpin(&mut self, side: Side) {
+        self.firm[side as usize] = self.firm[side as usize].saturating_sub(1);
+    }
+
+    /// Gives a loose one back.
+    pub fn give_back(&mut self, side: Side) {
+        debug_assert!(self.loose(side as usize) > 0, "a firm descriptor was given back");
+        self.held[side as usize] = self.held[side as usize].saturating_sub(1);
+    }
+}
--- /dev/null
+++ b/src/limits/mod.rs
@@ -0,0 +1,18 @@
+//! Limits of the process: who may hold a descriptor, which connection leaves first, how much is buffered, how fast
+//! newcomers are let in, and what waits for a connection to a server. Plain values and times go in, decisions come
+//! out: no socket, no task, no clock.
+
+pub mod bytes;
+pub mod crowd;
+pub mod descriptors;
+pub mod lines;
+pub mod scarcity;
+pub mod tally;
+pub mod turnstile;
+
+pub use bytes::Bytes;
+pub use crowd::{Crowd, Source, Why};
+pub use descriptors::{Denied, Descriptors, Plan, Side};
+pub use scarcity::Scarcity;
+pub use tally::Tally;
+pub use turnstile::Turnstile;
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -1,13 +1,17 @@
 //! Configuration of the real gatherer: the platform's variables and its JSON file, read and checked here.
 
 use super::settings::{Faulty, Pairs};
+use crate::limits::descriptors;
 use crate::protocol::discovery;
 use crate::routing::{Contracts, Listing};
 use serde_json::Value;
 use std::net::SocketAddr;
 
-/// Descriptors that a process may hold where the platform does not say.
+/// Descriptors that a process may hold, and its memory, where the platform does not say.
 const SOCKETS: u64 = 1024;
+const MEMORY_MB: u64 = 256;
+/// The least memory to serve in.
+const LEAST_MEMORY_MB: u64 = 16;
 
 /// Why there is no usable configuration.
 #[derive(Debug, thiserror::Error)]
@@ -47,6 +51,8 @@
     pub discovery: String,
     /// Descriptors that it may hold.
     pub sockets: usize,
+    /// Memory that it may use, in MB.
+    pub memory_mb: u64,
     /// The list of workers as it was last held.
     pub known: Option<Listing>,
     /// Contracts and limits.
@@ -83,13 +89,14 @@
                 hex.ok_or_else(|| Faulty::new("seed", format!("no hexadecimal number {seed}")))?
             }
         };
-        let sockets = match json.get("limits").and_then(|limits| limits.get("sockets")) {
-            None => SOCKETS,
-            Some(count) => count
-                .as_u64()
-                .filter(|count| *count >= 64)
-                .ok_or_else(|| Faulty::new("limits.sockets", format!("{count}: 64 at least are needed")))?,
+        let limit = |key: &str, absent: u64, least: u64| match json.pointer(&format!("/limits/{key}")) {
+            None => Ok(absent),
+            Some(count) => count.as_u64().filter(|count| *count >= least).ok_or_else(|| {
+                Faulty::new(&format!("limits.{key}"), format!("{count}: {least} at least are needed"))
+            }),
         };
+        let sockets = limit("sockets", SOCKETS, descriptors::LEAST as u64)?;
+        let memory_mb = limit("memory_mb", MEMORY_MB, LEAST_MEMORY_MB)?;
         let known = match json.get("known") {
             None | Some(Value::Null) => None,
             Some(list) => Some(
@@ -115,6 +122,7 @@
             listen,
             discovery: text("discovery", "LB_DISCOVERY")?,
             sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
+            memory_mb,
             known,
             contracts,
         })
--- a/src/program/log.rs
+++ b/src/program/log.rs
@@ -7,7 +7,7 @@
 const BURST: f64 = 100.0;
 const PER_SECOND: f64 = 20.0;
 /// The longest line; the rest of a longer one is cut.
-const LONGEST: usize = 400;
+const LONGEST: usize = 600;
 
 struct Budget {
     left: f64,
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -5,5 +5,6 @@
 pub mod opensearch;
 pub mod opensearch_file;
 pub mod platform;
+mod process;
 pub mod run;
 pub mod settings;
--- a/src/program/opensearch.rs
+++ b/src/program/opensearch.rs
@@ -1,12 +1,14 @@
 //! The OpenSearch-style front: searches, pages of held results, and keys for searches that must not run twice.
 
+use super::run::counts;
 use crate::api::*;
 use crate::protocol::http::{Malformed, Request, Response};
 use crate::protocol::opensearch::{self, Fault, Merged, Search};
 use crate::routing::held::Held;
 use crate::routing::ledger::{Bounds, Claim, Ledger};
 use crate::routing::{Ask, AskPart, Broker, Clock, Refusal, Verdict};
-use crate::transport::listener::{Front, Gate, Phase};
+use crate::transport::gate::{Gate, Phase};
+use crate::transport::listener::Front;
 use bytes::Bytes;
 use serde_json::{Value, json};
 use std::cell::RefCell;
@@ -309,9 +311,7 @@
         let path = request.path.trim_start_matches('/');
         match (request.method.as_str(), path.split_once('/').unwrap_or((path, ""))) {
             ("GET", ("_health", "")) => Ok(self.health()),
-            ("GET", ("_counters", "")) => {
-                Ok(Response::text(200, self.broker.core(|core| core.counters.to_string())))
-            }
+            ("GET", ("_counters", "")) => Ok(Response::text(200, counts(&self.broker, &self.gate))),
             ("POST", ("_clayshore", "idempotency_keys")) => self.issue_key(request),
             ("POST" | "GET", ("_search", "scroll")) => self.scroll(request),
             ("DELETE", ("_search", "scroll")) => self.clear_scroll(request),
@@ -349,4 +349,13 @@
         self.broker.core(|core| core.counters.malformed += 1);
         Fault::new(error.status(), "parsing_exception", error.to_string()).response()
     }
+
+    fn crowded(&self) -> Response {
+        let pause = self.broker.core(|core| core.contracts().settings.longest_pause);
+        opensearch::refused(Refusal::Full, pause)
+    }
+
+    fn caller<'a>(&self, request: &'a Request) -> Option<&'a str> {
+        request.headers.get("X-Opaque-Id")
+    }
 }
--- a/src/program/opensearch_file.rs
+++ b/src/program/opensearch_file.rs
@@ -4,6 +4,7 @@
 use super::opensearch::Names;
 use super::settings::Faulty;
 use crate::api::*;
+use crate::limits::descriptors;
 use crate::routing::{Contracts, Limits, Listing, Member};
 use serde::Deserialize;
 use std::collections::HashMap;
@@ -51,6 +52,8 @@
     searches_per_server: usize,
     attempts: u32,
     longest_pause_ms: u64,
+    sockets: usize,
+    memory_mb: u64,
 }
 
 impl Default for FileLimits {
@@ -63,6 +66,8 @@
             searches_per_server: 16,
             attempts: 4,
             longest_pause_ms: 1000,
+            sockets: 1024,
+            memory_mb: 256,
         }
     }
 }
@@ -134,10 +139,14 @@
     pub names: Names,
     /// The index servers.
     pub servers: Listing,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// Memory that it may use, in MB.
+    pub memory_mb: u64,
 }
 
-/// Connections to index servers that the process has descriptors for, beside those of its clients.
-const MOST_CONNECTIONS: usize = 448;
+/// The least memory to serve in.
+const LEAST_MEMORY_MB: u64 = 16;
 
 impl FrontFile {
     /// Reads a file.
@@ -166,8 +175,22 @@
         if window == 0 || searches_per_server == 0 || attempts == 0 || max_open <= shards as usize {
             return Err(Faulty::new("limits", "1 at least; max_open over layout.shards"));
         }
-        if self.server.len().saturating_mul(searches_per_server) > MOST_CONNECTIONS {
-            let what = format!("with {} servers more than {MOST_CONNECTIONS} connections", self.server.len());
+        let FileLimits { sockets, memory_mb, .. } = self.limits;
+        if sockets < descriptors::LEAST {
+            let what = format!("{sockets}: {} at least are needed", descriptors::LEAST);
+            return Err(Faulty::new("limits.sockets", what));
+        }
+        if memory_mb < LEAST_MEMORY_MB {
+            let what = format!("{memory_mb}: {LEAST_MEMORY_MB} at least are needed");
+            return Err(Faulty::new("limits.memory_mb", what));
+        }
+        // More than that many could not be open beside the clients' floor, and what files and the watch need.
+        let most = sockets / 16 * 7;
+        if self.server.len().saturating_mul(searches_per_server) > most {
+            let what = format!(
+                "with {} servers more than {most} connections, 7/16 of limits.sockets",
+                self.server.len()
+            );
             return Err(Faulty::new("limits.searches_per_server", what));
         }
         let mut classes = Vec::new();
@@ -266,6 +289,6 @@
         }
         names.callers = callers;
         let servers = Listing { revision: 0, complete: true, members };
-        Ok(FrontFile { listen, contracts, names, servers })
+        Ok(FrontFile { listen, contracts, names, servers, sockets, memory_mb })
     }
 }
--- a/src/program/platform.rs
+++ b/src/program/platform.rs
@@ -1,9 +1,11 @@
 //! The platform's front: one function sees each request through, from its bytes to its one answer.
 
+use super::run::counts;
 use crate::protocol::http::{Malformed, Request, Response};
 use crate::protocol::platform;
 use crate::routing::Broker;
-use crate::transport::listener::{Front, Gate, Phase};
+use crate::transport::gate::{Gate, Phase};
+use crate::transport::listener::Front;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -53,7 +55,7 @@
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/api") => self.query(&request).await,
             ("GET", "/_health") => self.health(),
-            ("GET", "/_counters") => Response::text(200, self.broker.core(|core| core.counters.to_string())),
+            ("GET", "/_counters") => Response::text(200, counts(&self.broker, &self.gate)),
             (_, "/api") => Response::text(405, "only POST").with("Allow", "POST"),
             (_, "/_health" | "/_counters") => Response::text(405, "only GET").with("Allow", "GET"),
             (_, path) => Response::text(404, format!("nothing at {path}")),
@@ -64,4 +66,12 @@
         self.broker.core(|core| core.counters.malformed += 1);
         Response::text(error.status(), error.to_string())
     }
+
+    fn crowded(&self) -> Response {
+        platform::refusal(self.broker.core(|core| core.contracts().settings.longest_pause))
+    }
+
+    fn caller<'a>(&self, request: &'a Request) -> Option<&'a str> {
+        request.headers.get("X-Caller")
+    }
 }
--- /dev/null
+++ b/src/program/process.rs
@@ -0,0 +1,61 @@
+//! What the process itself may use: its own limit of descriptors, and those in use before any connection.
+
+use crate::limits::Plan;
+use crate::limits::descriptors::TooFew;
+use rlimit::Resource;
+
+/// Descriptors that are taken to be in use where the system does not say.
+const STANDING: usize = 16;
+/// One for a client that is turned away at the door, and one for what the runtime may open yet.
+const SPARE: usize = 2;
+/// Share of the memory that may be buffered for peers; the rest is for queries, answers and the program.
+const BUFFERED: u64 = 4;
+
+/// Raises the process's own limit to what is configured, as far as the system allows it; what may be held then.
+fn allowed(configured: usize) -> usize {
+    let wanted = configured as u64;
+    let soft = match Resource::NOFILE.get() {
+        Ok((soft, hard)) if soft < wanted => {
+            let raised = wanted.min(hard);
+            match Resource::NOFILE.set(raised, hard) {
+                Ok(()) => raised,
+                Err(_) => soft,
+            }
+        }
+        Ok((soft, _)) => soft,
+        Err(error) => {
+            log::warn!("the process's limit of descriptors cannot be read: {error}");
+            wanted
+        }
+    };
+    usize::try_from(soft.min(wanted)).unwrap_or(configured)
+}
+
+fn standing() -> usize {
+    // Reading the folder takes one descriptor itself.
+    let open = std::fs::read_dir("/proc/self/fd").map(|entries| entries.count().saturating_sub(1));
+    open.unwrap_or(STANDING) + SPARE
+}
+
+/// Divides the descriptors that the configuration and the system leave. To be called once everything that stays open
+/// for good is open.
+pub fn plan(configured: usize) -> Result<Plan, TooFew> {
+    let (limit, standing) = (allowed(configured), standing());
+    if limit < configured {
+        log::warn!("of {configured} descriptors configured the system allows {limit}");
+    }
+    let plan = Plan::new(limit, standing)?;
+    log::info!(
+        "{limit} descriptors, {standing} in use; floors: clients {}, workers {}, discovery {}, files {}",
+        plan.floors[0],
+        plan.floors[1],
+        plan.floors[2],
+        plan.floors[3]
+    );
+    Ok(plan)
+}
+
+/// Bytes that may be buffered for peers, of so much memory.
+pub fn buffered(memory_mb: u64) -> usize {
+    usize::try_from((memory_mb << 20) / BUFFERED).unwrap_or(usize::MAX)
+}
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -4,9 +4,13 @@
 use super::opensearch::OpenSearch;
 use super::opensearch_file::FrontFile;
 use super::platform::Platform;
+use super::process;
+use crate::limits::Side;
 use crate::routing::{Broker, Carrier, Clock, Core};
+use crate::transport::gate::{Gate, Phase};
 use crate::transport::index_servers::IndexServers;
-use crate::transport::listener::{self, Front, Gate, Phase};
+use crate::transport::listener::{self, Front};
+use crate::transport::places::Places;
 use crate::transport::stream::{Dial, Tcp};
 use crate::transport::watch;
 use crate::transport::workers::Workers;
@@ -18,8 +22,6 @@
 use tokio::sync::watch::Sender;
 use tokio::task::{LocalSet, spawn_local};
 
-/// Descriptors that the second front reckons with.
-const SOCKETS: usize = 1024;
 /// After SIGTERM, the time in which the front layer still sends clients here, and more: who comes is served.
 const LINGER: Duration = Duration::from_millis(600);
 /// The end is due no sooner than this after LINGER, or than the longest deadline where that is longer.
@@ -34,19 +36,22 @@
     in_runtime(async move {
         let hangups = signal(SignalKind::hangup())?;
         let listener = TcpListener::bind(config.listen).await?;
+        let places = places(config.sockets, config.memory_mb)?;
         let broker = Broker::new(Core::new(config.contracts), Clock::system());
         if let Some(known) = &config.known {
             broker.learn(known, true);
         }
         let dial: Rc<dyn Dial> = Rc::new(Tcp);
-        let workers = Workers::new(broker.clone(), dial.clone(), config.sockets / 4);
-        let gate = Gate::new(config.sockets / 2);
+        let workers = Workers::new(broker.clone(), dial.clone(), places.clone());
+        spawn_local(workers.clone().give_way());
+        let gate = Gate::new(places.clone());
         let front = Platform { broker: broker.clone(), gate: gate.clone() };
         let watcher = broker.clone();
         let discovery = Sender::new(config.discovery);
         let address = discovery.subscribe();
-        spawn_local(async move { watch::follow(&*dial, address, &watcher).await });
-        spawn_local(reload(hangups, move || {
+        let watched = places.clone();
+        spawn_local(async move { watch::follow(&*dial, address, &watcher, &watched).await });
+        spawn_local(reload(hangups, places, move || {
             // Where discovery is takes effect now, all else at the next start.
             let config = read()?;
             let news = format!("discovery at {}", config.discovery);
@@ -66,18 +71,20 @@
     in_runtime(async move {
         let hangups = signal(SignalKind::hangup())?;
         let listener = TcpListener::bind(file.listen).await?;
+        let places = places(file.sockets, file.memory_mb)?;
         let clock = Clock::system();
         let broker = Broker::new(Core::new(file.contracts), clock);
         broker.learn(&file.servers, true);
         let learner = broker.clone();
-        spawn_local(reload(hangups, move || {
+        spawn_local(reload(hangups, places.clone(), move || {
             // Which index servers there are takes effect now, all else at the next start.
             let servers = read()?.servers;
             learner.learn(&servers, false);
             Ok(format!("{} index servers", servers.members.len()))
         }));
-        let servers = IndexServers::new(broker.clone(), Rc::new(Tcp));
-        let gate = Gate::new(SOCKETS / 2);
+        let servers = IndexServers::new(broker.clone(), Rc::new(Tcp), places.clone());
+        spawn_local(servers.clone().give_way());
+        let gate = Gate::new(places);
         // Two starts have the same name only if they draw the same seed in the same nanosecond.
         let start = format!("{:x}-{seed:016x}", clock.now().0);
         let front = OpenSearch::new(broker.clone(), clock, gate.clone(), file.names, start, seed);
@@ -104,18 +111,33 @@
     let at = listener.local_addr()?;
     let driver = broker.clone();
     spawn_local(async move { driver.drive(&carrier).await });
+    let tended = gate.clone();
+    spawn_local(async move { tended.tend().await });
     spawn_local(listener::accept(listener, Rc::new(front), gate.clone()));
     log::info!("{name} serving on {at}");
     stopped().await?;
     wind_up(&broker, &gate, longest.unwrap_or_default()).await;
-    broker.core(|core| log::info!("counters: {}", core.counters));
+    counts(&broker, &gate).lines().for_each(|line| log::info!("{line}"));
     Ok(())
 }
 
+/// All counts since the start, a line each: of queries and attempts, and of connections.
+pub fn counts(broker: &Broker, gate: &Gate) -> String {
+    let queries = broker.core(|core| core.counters.to_string());
+    format!("counters: {queries}\nconnections: {}", gate.places().tally.borrow())
+}
+
+/// Divides what the process may use; called once everything that stays open is open.
+fn places(sockets: usize, memory_mb: u64) -> io::Result<Rc<Places>> {
+    let plan = process::plan(sockets).map_err(io::Error::other)?;
+    Ok(Places::new(plan, process::buffered(memory_mb)))
+}
+
 /// Reads the configuration again at each SIGHUP, and says what holds from now on; nothing that is in flight notices.
 /// A faulty file changes nothing.
-async fn reload(mut hangups: Signal, mut read: impl FnMut() -> Result<String, Error>) {
+async fn reload(mut hangups: Signal, places: Rc<Places>, mut read: impl FnMut() -> Result<String, Error>) {
     while hangups.recv().await.is_some() {
+        let _place = places.take(Side::Files).await;
         match read() {
             Ok(news) => log::info!("configuration read again: {news}"),
             Err(error) => log::error!("configuration not read again, the old one holds: {error}"),
--- /dev/null
+++ b/src/transport/gate.rs
@@ -0,0 +1,256 @@
+//! The clients' connections of one process: who is let in, who is told to leave, and how all are told to end. The
+//! order and the time limits are decided in [`crate::limits::crowd`].
+
+use super::places::{Buffered, Place, Places};
+use crate::limits::crowd::{Record, Source, Why};
+use crate::limits::{Crowd, Denied, Scarcity, Side};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{Notify, watch};
+
+/// How often time limits are looked at while any connection could leave: they move with scarcity.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two lines of the log about who was made to leave.
+const TELL: Duration = Duration::from_secs(5);
+
+/// Where the process is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It serves.
+    Serving,
+    /// It is no longer healthy, but serves who still comes, on the connections that clients have too.
+    Stopping,
+    /// It takes nothing new, closes idle connections, and others behind their answers.
+    Closing,
+}
+
+/// The connections of one process, and how they are told to end.
+pub struct Gate {
+    places: Rc<Places>,
+    crowd: RefCell<Crowd>,
+    signals: RefCell<HashMap<u64, Rc<Signal>>>,
+    entered: Notify,
+    phase: watch::Sender<Phase>,
+}
+
+#[derive(Default)]
+struct Signal {
+    why: Cell<Option<Why>>,
+    told: Notify,
+}
+
+impl Gate {
+    /// A gate to these places.
+    pub fn new(places: Rc<Places>) -> Rc<Gate> {
+        Rc::new(Gate {
+            places,
+            crowd: RefCell::default(),
+            signals: RefCell::default(),
+            entered: Notify::new(),
+            phase: watch::Sender::new(Phase::Serving),
+        })
+    }
+    /// Where the process is.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+    /// Moves the process on.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_replace(phase);
+    }
+    /// The places that it gives out.
+    pub fn places(&self) -> &Rc<Places> {
+        &self.places
+    }
+    /// Open connections.
+    pub fn open(&self) -> usize {
+        self.crowd.borrow().len()
+    }
+    /// Waits for the phase in which nothing new is taken.
+    pub async fn closing(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the gate, so waiting cannot fail.
+        let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+    }
+
+    /// How scarce places are for clients. Their own level comes first: what clients may hold at their end is less
+    /// than what there is here, and who asked once and stays takes it from those who would come back.
+    pub fn scarcity(&self) -> Scarcity {
+        let floor = self.places.descriptors(|all| all.plan().floors[Side::Clients as usize]);
+        Scarcity::of(self.open(), floor / 3, floor * 3 / 4).or(self.places.scarcity())
+    }
+
+    /// Lets a connection in. Where there is no place, the one of least worth is told to leave; none at all is to be
+    /// had only while a query is open on each.
+    pub async fn admit(self: &Rc<Self>, source: Source, longest: Duration) -> Option<Pass> {
+        let place = loop {
+            let freed = self.places.freed();
+            match self.places.try_take(Side::Clients) {
+                Ok(place) => break place,
+                Err(Denied::Full) if !self.leaving() => return None,
+                Err(_) => {}
+            }
+            if tokio::time::timeout(longest, freed).await.is_err() {
+                return None;
+            }
+        };
+        let now = self.places.now();
+        let id = self.crowd.borrow_mut().enter(now, source);
+        let signal = Rc::new(Signal::default());
+        self.signals.borrow_mut().insert(id, signal.clone());
+        self.places.tally.borrow_mut().admitted += 1;
+        self.entered.notify_one();
+        let bytes = Buffered::new(&self.places);
+        let pass = Pass { gate: self.clone(), id, place, signal, bytes };
+        // The next one who comes is to find a place free. It is made only now, so that it costs nobody theirs before
+        // it is needed, and so that the newcomer is judged beside the others.
+        let (free, door) = self.places.descriptors(|all| (all.free(), all.plan().door));
+        if free < door
+            && let Some(lender) = self.places.descriptors(|all| all.lender(Side::Clients))
+        {
+            match lender {
+                Side::Clients => self.make_room(),
+                other => self.places.recall(other),
+            }
+        }
+        Some(pass)
+    }
+
+    /// Whether anyone has been told to leave who has not left yet.
+    fn leaving(&self) -> bool {
+        let crowd = self.crowd.borrow();
+        self.signals.borrow().keys().any(|id| !crowd.is_loose(*id) && !crowd.is_firm(*id))
+    }
+
+    fn make_room(&self) {
+        let chosen = self.crowd.borrow_mut().give_way(self.places.now());
+        if let Some((id, why)) = chosen {
+            self.places.tally.borrow_mut().gave_way += 1;
+            self.tell(id, why);
+        }
+    }
+
+    fn tell(&self, id: u64, why: Why) {
+        self.places.tally.borrow_mut().leaves(why);
+        if let Some(signal) = self.signals.borrow().get(&id) {
+            signal.why.set(Some(why));
+            signal.told.notify_one();
+        }
+    }
+
+    /// Tells those to leave whose time is up, and those whose place another side needs, for as long as the process
+    /// lives.
+    pub async fn tend(&self) {
+        let (mut said, mut said_at) = (0, self.places.now());
+        loop {
+            if !self.crowd.borrow().has_loose() {
+                tokio::select! {
+                    () = self.entered.notified() => {}
+                    () = self.places.recalled(Side::Clients) => continue,
+                }
+            }
+            let scarcity = self.scarcity();
+            let due = self.crowd.borrow().next_due(scarcity);
+            let now = self.places.now();
+            let due = due.map_or(TICK, |due| due.since(now)).min(TICK);
+            tokio::select! {
+                () = self.places.recalled(Side::Clients) => self.make_room(),
+                () = tokio::time::sleep_until(self.places.moment(now.after(due))) => {}
+            }
+            let scarcity = self.scarcity();
+            let late = self.crowd.borrow_mut().sweep(self.places.now(), scarcity);
+            late.into_iter().for_each(|(id, why)| self.tell(id, why));
+            let now = self.places.now();
+            let early = self.places.tally.borrow().gave_way;
+            if early > said && now.since(said_at) >= TELL {
+                let left = self.places.tally.borrow().left.map(|count| count.to_string()).join(" ");
+                log::warn!(
+                    "crowded: {} clients, {} left for others; since the start, silent, slow, asked once, marked, idle and over share: {left}",
+                    self.open(),
+                    early - said
+                );
+                (said, said_at) = (early, now);
+            }
+        }
+    }
+}
+
+/// A client's connection, from its being let in to its end.
+pub struct Pass {
+    gate: Rc<Gate>,
+    id: u64,
+    place: Place,
+    signal: Rc<Signal>,
+    /// What is buffered for it.
+    pub bytes: Buffered,
+}
+
+impl Pass {
+    /// The gate that it came through.
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+    fn crowd<T>(&self, change: impl FnOnce(&mut Crowd) -> T) -> T {
+        change(&mut self.gate.crowd.borrow_mut())
+    }
+
+    /// Waits until it is told to leave.
+    pub async fn told_to_leave(&self) -> Why {
+        loop {
+            match self.signal.why.take() {
+                Some(why) => return why,
+                None => self.signal.told.notified().await,
+            }
+        }
+    }
+    /// Bytes of a request have come, which is not all there yet. One that was told to leave stays.
+    pub fn heard(&self, bytes: usize) {
+        if self.signal.why.take().is_some() {
+            self.gate.places.tally.borrow_mut().spared += 1;
+        }
+        self.crowd(|crowd| crowd.heard(self.gate.places.now(), self.id, bytes));
+    }
+    /// The client has said who it is.
+    pub fn belongs(&self, source: Source) {
+        self.crowd(|crowd| crowd.belongs(self.id, source));
+    }
+    /// Its request is all there; false where it cannot be served without touching what others are promised.
+    pub fn opened(&self) -> bool {
+        let pinned = self.place.pin();
+        if pinned {
+            self.signal.why.take();
+            self.crowd(|crowd| crowd.opened(self.gate.places.now(), self.id));
+        } else {
+            self.gate.places.tally.borrow_mut().unpinned += 1;
+            self.crowd(|crowd| crowd.spoke_rubbish(self.gate.places.now(), self.id));
+        }
+        pinned
+    }
+    /// Its request has had its answer.
+    pub fn answered(&self, record: Record) {
+        self.place.unpin();
+        self.crowd(|crowd| crowd.answered(self.gate.places.now(), self.id, record));
+    }
+    /// What it sent was no request.
+    pub fn spoke_rubbish(&self) {
+        self.crowd(|crowd| crowd.spoke_rubbish(self.gate.places.now(), self.id));
+    }
+    /// It stays after all: a request came as it was to leave.
+    pub fn spared(&self, bytes: usize) {
+        self.gate.places.tally.borrow_mut().spared += 1;
+        self.crowd(|crowd| crowd.heard(self.gate.places.now(), self.id, bytes));
+    }
+    /// Its close crossed a request.
+    pub fn crossed(&self) {
+        self.gate.places.tally.borrow_mut().crossed += 1;
+    }
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        self.crowd(|crowd| crowd.left(self.id));
+        self.gate.signals.borrow_mut().remove(&self.id);
+    }
+}
--- a/src/transport/index_servers.rs
+++ b/src/transport/index_servers.rs
@@ -1,8 +1,10 @@
 //! Connections to index servers that speak the OpenSearch-style form: one search at a time on each.
 
 use super::client::{self, Broken};
+use super::places::{Buffered, Place, Places};
 use super::stream::{Dial, Stream, dial_within};
 use crate::api::*;
+use crate::limits::Side;
 use crate::protocol::{http, opensearch};
 use crate::routing::{Broker, Carrier, Dispatch, End, Limits, Ticket};
 use bytes::BytesMut;
@@ -27,6 +29,7 @@
     broker: Broker,
     dial: Rc<dyn Dial>,
     limits: Limits,
+    places: Rc<Places>,
     links: RefCell<HashMap<LeafId, Rc<Link>>>,
     running: RefCell<HashMap<Ticket, AbortHandle>>,
 }
@@ -39,60 +42,91 @@
     idle: RefCell<Vec<Idle>>,
 }
 
+/// A connection that waits for its next search; its place is loose.
 struct Idle {
     stream: Box<dyn Stream>,
+    place: Place,
     since: Instant,
 }
 
 impl IndexServers {
-    /// No connections yet; they are opened as searches need them.
-    pub fn new(broker: Broker, dial: Rc<dyn Dial>) -> IndexServers {
+    /// No connections yet; they are opened as searches need them and places allow.
+    pub fn new(broker: Broker, dial: Rc<dyn Dial>, places: Rc<Places>) -> IndexServers {
         let limits = broker.core(|core| core.contracts().limits.clone());
         let (links, running) = (RefCell::default(), RefCell::default());
-        IndexServers(Rc::new(Shared { broker, dial, limits, links, running }))
+        IndexServers(Rc::new(Shared { broker, dial, limits, places, links, running }))
     }
 
     /// The life of one attempt.
-    async fn search(self, link: Rc<Link>, part: Dispatch) {
-        let end = self.exchange(&link, &part).await;
+    async fn search(self, leaf: LeafId, link: Rc<Link>, part: Dispatch) {
+        let end = self.exchange(leaf, &link, &part).await;
         self.0.running.borrow_mut().remove(&part.ticket);
         self.0.broker.ended(part.ticket, end);
     }
 
     /// Keeps a connection for the next search, and closes it before the server would.
-    fn keep(&self, link: &Rc<Link>, stream: Box<dyn Stream>) {
-        link.idle.borrow_mut().push(Idle { stream, since: Instant::now() });
+    fn keep(&self, link: &Rc<Link>, stream: Box<dyn Stream>, place: Place) {
+        link.idle.borrow_mut().push(Idle { stream, place, since: Instant::now() });
         let (link, longest) = (link.clone(), self.0.limits.conn_idle.mul_f64(IDLE_SHARE));
         spawn_local(async move {
             tokio::time::sleep(longest).await;
-            link.idle.borrow_mut().retain(|idle| idle.since.elapsed() < longest);
+            let old = link.idle.borrow_mut().extract_if(.., |idle| idle.since.elapsed() >= longest).collect();
+            close(old);
         });
     }
 
-    async fn exchange(&self, link: &Rc<Link>, part: &Dispatch) -> End {
+    /// Closes the connection that has been idle the longest whenever its place is needed, for as long as the process
+    /// lives.
+    pub async fn give_way(self) {
+        loop {
+            self.0.places.recalled(Side::Workers).await;
+            let links = self.0.links.borrow();
+            let oldest = |link: &&Rc<Link>| link.idle.borrow().first().map(|idle| idle.since);
+            let link = links.values().filter(|link| oldest(link).is_some()).min_by_key(oldest).cloned();
+            drop(links);
+            if let Some(link) = link {
+                self.0.places.tally.borrow_mut().lines_gave_way += 1;
+                let oldest = link.idle.borrow_mut().remove(0);
+                close(vec![oldest]);
+            }
+        }
+    }
+
+    async fn exchange(&self, leaf: LeafId, link: &Rc<Link>, part: &Dispatch) -> End {
         let since = Instant::now();
         let Ok(_place) = link.places.acquire().await else { return End::bare(Outcome::Skipped) };
         if !link.open.get() {
             return End::bare(Outcome::Skipped);
         }
-        let mut stream = match self.kept(link).await {
-            Some(stream) => stream,
-            None => match dial_within(&*self.0.dial, &link.address, self.0.limits.connect_timeout).await {
-                Ok(stream) => stream,
-                Err(error) => {
-                    log::warn!("index server at {}: cannot connect: {error}", link.address);
-                    return End::bare(Outcome::Refused);
+        let (mut stream, place) = match self.kept(link).await {
+            Some(kept) => kept,
+            None => {
+                // Nothing has run where there was no place for it.
+                let Ok(opening) =
+                    self.0.places.open(leaf, part.timeout.saturating_sub(since.elapsed())).await
+                else {
+                    return End::bare(Outcome::Skipped);
+                };
+                match dial_within(&*self.0.dial, &link.address, self.0.limits.connect_timeout).await {
+                    Ok(stream) => (stream, opening.up()),
+                    Err(error) => {
+                        log::warn!("index server at {}: cannot connect: {error}", link.address);
+                        return End::bare(Outcome::Refused);
+                    }
                 }
-            },
+            }
         };
         let left = part.timeout.saturating_sub(since.elapsed()).as_millis().max(1);
         let target = format!("/{}/_search?preference=_shards:{}&timeout={left}ms", part.label, part.shard.0);
         let request = http::request("POST", &target, &link.address, Some(&part.text));
         let mut buffer = BytesMut::new();
+        let bytes = Buffered::new(&self.0.places);
+        bytes.set(request.len());
         match client::exchange(&mut *stream, &mut buffer, &request, MOST_RESULT).await {
             Ok(response) => {
                 if response.keep_alive && buffer.is_empty() {
-                    self.keep(link, stream);
+                    place.unpin();
+                    self.keep(link, stream, place);
                 }
                 match response.status {
                     200 if opensearch::is_result(&response.body) => {
@@ -118,22 +152,29 @@
     }
 
     /// An idle connection that the server has not closed meanwhile.
-    async fn kept(&self, link: &Link) -> Option<Box<dyn Stream>> {
+    async fn kept(&self, link: &Link) -> Option<(Box<dyn Stream>, Place)> {
         loop {
-            let Idle { mut stream, .. } = link.idle.borrow_mut().pop()?;
+            let latest = link.idle.borrow_mut().pop();
+            let Idle { mut stream, place, .. } = latest?;
             let mut scrap = [0; 1];
             let still = tokio::select! {
                 biased;
                 _ = stream.read(&mut scrap) => false,
                 () = std::future::ready(()) => true,
             };
-            if still {
-                return Some(stream);
+            // Where no firm place may be had the connection goes, and the search waits for its turn.
+            if still && place.pin() {
+                return Some((stream, place));
             }
         }
     }
 }
 
+/// Closes connections. Their places go on to those who wait, so nothing may be borrowed here.
+fn close(idle: Vec<Idle>) {
+    drop(idle);
+}
+
 impl Carrier for IndexServers {
     fn member(&self, leaf: LeafId, _name: &str, address: &str, open: bool) {
         let mut links = self.0.links.borrow_mut();
@@ -160,7 +201,7 @@
             let ticket = part.ticket;
             match &link {
                 Some(link) => {
-                    let task = spawn_local(self.clone().search(link.clone(), part));
+                    let task = spawn_local(self.clone().search(leaf, link.clone(), part));
                     self.0.running.borrow_mut().insert(ticket, task.abort_handle());
                 }
                 None => self.0.broker.ended(ticket, End::bare(Outcome::Skipped)),
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -1,26 +1,29 @@
 //! Clients' connections: accepts them, reads requests, writes each its one response.
 
+use super::gate::{Gate, Pass, Phase};
 use super::stream::Stream;
+use crate::limits::crowd::{Record, Source, Why};
+use crate::limits::{Side, Turnstile};
 use crate::protocol::http::{self, Request, Response};
-use bytes::BytesMut;
-use std::cell::Cell;
+use bytes::{Bytes, BytesMut};
 use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, watch};
-use tokio::time::Instant;
 
-/// Time from a connection's start, or from a later request's first byte, until that request is all there; and for a
-/// client to take its response.
+/// Time for a client to take its response.
 const SLOW: Duration = Duration::from_millis(2500);
-/// Time that a connection may stay open between requests.
-const IDLE: Duration = Duration::from_secs(10);
-/// Time for a client to take what is said last on its connection.
+/// Time for a client to take what is said last on its connection, where there is room and where there is none.
 const LAST: Duration = Duration::from_millis(400);
-/// Pause after a failed accept: without one, a process out of descriptors would spin.
+const LAST_TIGHT: Duration = Duration::from_millis(20);
+/// The longest pause after a failed accept: without one, a process out of descriptors would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long a newcomer waits at most for one that is leaving, and for its refusal at the door.
+const DOOR: Duration = Duration::from_millis(50);
 /// What a client may have sent ahead of the response that it waits for.
 const MOST_AHEAD: usize = 2 * http::MOST_BODY;
 /// Reading takes at most so much at once.
@@ -32,186 +35,280 @@
     fn respond(&self, request: Request) -> impl Future<Output = Response>;
     /// The response to bytes that are no request.
     fn malformed(&self, error: http::Malformed) -> Response;
+    /// The refusal of a request for which there is no place; it has not run.
+    fn crowded(&self) -> Response;
+    /// Whom a request says it comes from, where the form has a way to say so.
+    fn caller<'a>(&self, request: &'a Request) -> Option<&'a str>;
 }
 
-/// Where the process is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// It serves.
-    Serving,
-    /// It is no longer healthy, but serves who still comes, on the connections that clients have too.
-    Stopping,
-    /// It takes nothing new, closes idle connections, and others behind their answers.
-    Closing,
-}
+/// A connection that is about to come in.
+pub type Accepting<'a> = Pin<Box<dyn Future<Output = io::Result<(Box<dyn Stream>, SocketAddr)>> + 'a>>;
 
-/// The connections of one process: how many there may be, and how they are told to end.
-pub struct Gate {
-    most: usize,
-    open: Cell<usize>,
-    /// Wakes the connection that has been idle the longest, to make room.
-    crowded: Notify,
-    freed: Notify,
-    phase: watch::Sender<Phase>,
+/// Where connections come in.
+pub trait Accept {
+    /// The next one.
+    fn accept(&self) -> Accepting<'_>;
 }
 
-impl Gate {
-    /// Room for so many connections.
-    pub fn new(most: usize) -> Rc<Gate> {
-        let phase = watch::Sender::new(Phase::Serving);
-        Rc::new(Gate { most, open: Cell::new(0), crowded: Notify::new(), freed: Notify::new(), phase })
-    }
-    /// Where the process is.
-    pub fn phase(&self) -> Phase {
-        *self.phase.borrow()
-    }
-    /// Moves the process on.
-    pub fn enter(&self, phase: Phase) {
-        self.phase.send_replace(phase);
-    }
-    /// Open connections.
-    pub fn open(&self) -> usize {
-        self.open.get()
-    }
-    async fn closing(&self) {
-        let mut phase = self.phase.subscribe();
-        // The sender lives as long as the gate, so waiting cannot fail.
-        let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+impl Accept for TcpListener {
+    fn accept(&self) -> Accepting<'_> {
+        Box::pin(async move {
+            let (stream, from) = TcpListener::accept(self).await?;
+            if let Err(error) = stream.set_nodelay(true) {
+                log::debug!("client: {error}");
+            }
+            Ok((Box::new(stream) as Box<dyn Stream>, from))
+        })
     }
 }
 
-/// Counts a connection for as long as it is held.
-struct Place(Rc<Gate>);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        self.0.freed.notify_one();
+fn source(address: SocketAddr, caller: Option<&str>) -> Source {
+    let mut hash = xxhash_rust::xxh3::Xxh3::new();
+    match address {
+        SocketAddr::V4(address) => hash.update(&address.ip().octets()),
+        SocketAddr::V6(address) => hash.update(&address.ip().octets()),
     }
+    hash.update(caller.unwrap_or_default().as_bytes());
+    Source(hash.digest())
 }
 
-/// Accepts connections until the gate closes; whoever has connected by then is still served.
-pub async fn accept<F: Front + 'static>(listener: TcpListener, front: Rc<F>, gate: Rc<Gate>) {
+/// Accepts connections until the gate closes; whoever has connected by then is still served. It never waits for a place
+/// that nobody is about to leave, and takes its share of the time and no more while many come at once.
+pub async fn accept<F: Front + 'static>(listener: impl Accept, front: Rc<F>, gate: Rc<Gate>) {
+    let mut turnstile = Turnstile::default();
     loop {
-        let accepted = tokio::select! {
+        let mut begun = gate.places().now();
+        let waiting = tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
-            () = gate.closing() => return,
+            accepted = listener.accept() => Some(accepted),
+            () = std::future::ready(()) => None,
+        };
+        let accepted = match waiting {
+            Some(accepted) => accepted,
+            None => {
+                turnstile.idle();
+                let accepted = tokio::select! {
+                    biased;
+                    accepted = listener.accept() => accepted,
+                    () = gate.closing() => return,
+                };
+                begun = gate.places().now();
+                accepted
+            }
         };
         match accepted {
-            Ok((stream, _)) => {
-                if let Err(error) = stream.set_nodelay(true) {
-                    log::debug!("client: {error}");
-                }
-                // Room is made for one that has come, not before.
-                while gate.open.get() >= gate.most {
-                    gate.crowded.notify_one();
-                    gate.freed.notified().await;
+            Ok((stream, from)) => match gate.admit(source(from, None), DOOR).await {
+                Some(pass) => {
+                    let front = front.clone();
+                    tokio::task::spawn_local(async move { serve(stream, from, &*front, pass).await });
                 }
-                // Guards against a call to make room that outlives its cause and closes a connection for nothing.
-                std::pin::pin!(gate.crowded.notified()).enable();
-                gate.open.set(gate.open.get() + 1);
-                let (front, place) = (front.clone(), Place(gate.clone()));
-                tokio::task::spawn_local(async move { serve(stream, &*front, &place.0).await });
-            }
+                None => turn_away(stream, &front.crowded(), &gate).await,
+            },
             Err(error) => {
+                gate.places().tally.borrow_mut().accept_failed += 1;
                 log::warn!("accept: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+                // Descriptors have run out beside the budget: one that a client holds loosely helps.
+                let freed = gate.places().freed();
+                gate.places().recall(Side::Clients);
+                // Whether it frees one or not, the next try comes soon.
+                let _ = tokio::time::timeout(ACCEPT_PAUSE, freed).await;
             }
         }
+        if let Some(pause) = turnstile.passed(begun, gate.places().now()) {
+            if gate.phase() == Phase::Closing {
+                return;
+            }
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+/// Tells one for whom there is no place when to come back: a query is open on every connection.
+async fn turn_away(mut stream: Box<dyn Stream>, response: &Response, gate: &Gate) {
+    gate.places().tally.borrow_mut().turned_away += 1;
+    let bytes = response.encode(true);
+    let told = async { stream.write_all(&bytes).await.is_ok() && stream.shutdown().await.is_ok() };
+    // Whether it is read or not, nothing more can be done for it.
+    if tokio::time::timeout(DOOR, told).await == Ok(true) {
+        drain(&mut stream, DOOR).await;
     }
 }
 
+/// What comes next on a connection.
+enum Next {
+    Request(Request),
+    /// These bytes are said last.
+    Last(Bytes),
+    /// There is nothing to be said.
+    End,
+}
+
 /// The life of one connection.
-pub async fn serve<F: Front>(stream: impl Stream, front: &F, gate: &Gate) {
+pub async fn serve<F: Front>(stream: impl Stream, from: SocketAddr, front: &F, pass: Pass) {
     let (mut read, mut write) = tokio::io::split(stream);
     let mut buffer = BytesMut::new();
-    let mut first = true;
-    let mut since = Instant::now();
     loop {
-        let mut told = false;
-        let request = loop {
-            match http::take_request(&mut buffer) {
-                Ok(Some(request)) => break request,
-                Ok(None) => {}
-                Err(error) => {
-                    let bytes = front.malformed(error).encode(true);
-                    let end =
-                        async { write.write_all(&bytes).await.is_ok() && write.shutdown().await.is_ok() };
-                    if tokio::time::timeout(LAST, end).await == Ok(true) {
-                        drain(&mut read).await;
-                    }
-                    return;
-                }
-            }
-            if !told && http::expects_continue(&buffer) {
-                told = true;
-                if write.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
-                    return;
-                }
-            }
-            let fresh = buffer.is_empty();
-            // Guards against clients that say nothing, or never finish what they began, a byte at a time.
-            let until = since + if fresh && !first { IDLE } else { SLOW };
-            buffer.reserve(READ);
-            tokio::select! {
-                biased;
-                count = read.read_buf(&mut buffer) => match count {
-                    Ok(1..) if fresh && !first => since = Instant::now(),
-                    Ok(1..) => {}
-                    _ => return,
-                },
-                () = gate.crowded.notified(), if fresh => return,
-                () = gate.closing(), if fresh => return,
-                () = tokio::time::sleep_until(until), if fresh => return,
-                () = tokio::time::sleep_until(until) => {
-                    let bytes = Response::text(408, "the request did not end in time").encode(true);
-                    // Whether the client takes it or not, the connection ends.
-                    let _ = tokio::time::timeout(LAST, write.write_all(&bytes)).await;
-                    return;
-                }
-            }
+        let request = match next(&mut read, &mut write, &mut buffer, front, &pass).await {
+            Next::Request(request) => request,
+            Next::Last(bytes) => return last(&mut read, &mut write, &bytes, pass.gate()).await,
+            Next::End => return,
         };
-        first = false;
-        let (keep_alive, bodiless) = (request.keep_alive, request.method == "HEAD");
+        if let Some(caller) = front.caller(&request) {
+            pass.belongs(source(from, Some(caller)));
+        }
+        if !pass.opened() {
+            return last(&mut read, &mut write, &front.crowded().encode(true), pass.gate()).await;
+        }
+        let (keep_alive, bodiless, body) = (request.keep_alive, request.method == "HEAD", request.body.len());
         let response = tokio::select! {
             biased;
             response = front.respond(request) => response,
-            () = gone(&mut read, &mut buffer) => return,
+            () = gone(&mut read, &mut buffer, &pass, body) => return,
         };
-        let close = !keep_alive || gate.phase() == Phase::Closing;
+        let close = !keep_alive || pass.gate().phase() == Phase::Closing;
         let mut bytes = response.encode(close);
         if bodiless {
             bytes.truncate(bytes.len() - response.body.len());
         }
+        pass.bytes.set(buffer.capacity() + bytes.len());
         let written = tokio::time::timeout(SLOW, write.write_all(&bytes)).await;
         if !matches!(written, Ok(Ok(()))) {
             return;
         }
-        since = Instant::now();
         if close {
             if write.shutdown().await.is_ok() {
-                drain(&mut read).await;
+                drain(&mut read, last_time(pass.gate())).await;
             }
             return;
         }
+        pass.answered(match response.status {
+            400 | 405 | 411..=414 | 431 | 501 => Record::Rubbish,
+            _ => Record::Sound,
+        });
+    }
+}
+
+/// Reads the next request. Its time limits, and those of a connection without any, are the crowd's.
+async fn next<F: Front>(
+    read: &mut (impl AsyncRead + Unpin),
+    write: &mut (impl AsyncWrite + Unpin),
+    buffer: &mut BytesMut,
+    front: &F,
+    pass: &Pass,
+) -> Next {
+    let mut told = false;
+    if !buffer.is_empty() {
+        pass.heard(buffer.len());
+    }
+    loop {
+        match http::take_request(buffer) {
+            Ok(Some(request)) => return Next::Request(request),
+            Ok(None) => {}
+            Err(error) => {
+                pass.spoke_rubbish();
+                return Next::Last(front.malformed(error).encode(true));
+            }
+        }
+        if !told && http::expects_continue(buffer) {
+            told = true;
+            if write.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+                return Next::End;
+            }
+        }
+        // Guards against many half requests that fill the memory together: the more there is, the less each may have.
+        let more = pass.bytes.allowance() >= buffer.len() + READ;
+        if more {
+            buffer.reserve(READ);
+        }
+        pass.bytes.set(buffer.capacity());
+        tokio::select! {
+            biased;
+            count = read.read_buf(buffer), if more => match count {
+                Ok(count @ 1..) => pass.heard(count),
+                _ => return Next::End,
+            },
+            () = pass.bytes.room(), if !more => {}
+            why = pass.told_to_leave() => {
+                if !buffer.is_empty() {
+                    let why = if why == Why::Slow { "the request did not end in time" } else { "no room" };
+                    return Next::Last(Response::text(408, why).encode(true));
+                }
+                buffer.reserve(READ);
+                if !leave(read, write, buffer, pass).await {
+                    return Next::End;
+                }
+            }
+            () = pass.gate().closing(), if buffer.is_empty() => return Next::End,
+        }
+    }
+}
+
+/// Closes a connection on which nothing is open, unless a request has come meanwhile. True if it stays.
+async fn leave(
+    read: &mut (impl AsyncRead + Unpin),
+    write: &mut (impl AsyncWrite + Unpin),
+    buffer: &mut BytesMut,
+    pass: &Pass,
+) -> bool {
+    // Behind it the runtime has looked at its sockets, and knows of what has come by now.
+    tokio::task::yield_now().await;
+    if let Some(Ok(count @ 1..)) = at_once(read.read_buf(buffer)).await {
+        pass.spared(count);
+        return true;
+    }
+    if write.shutdown().await.is_ok()
+        && let Some(Ok(1..)) = at_once(read.read_buf(buffer)).await
+    {
+        pass.crossed();
+    }
+    false
+}
+
+/// What a future has to say without waiting.
+async fn at_once<T>(future: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        value = future => Some(value),
+        () = std::future::ready(()) => None,
+    }
+}
+
+fn last_time(gate: &Gate) -> Duration {
+    gate.scarcity().limit(LAST, LAST_TIGHT)
+}
+
+/// Says something last; whether the client takes it or not, the connection ends.
+async fn last(
+    read: &mut (impl AsyncRead + Unpin),
+    write: &mut (impl AsyncWrite + Unpin),
+    bytes: &[u8],
+    gate: &Gate,
+) {
+    let end = async { write.write_all(bytes).await.is_ok() && write.shutdown().await.is_ok() };
+    if tokio::time::timeout(last_time(gate), end).await == Ok(true) {
+        drain(read, last_time(gate)).await;
     }
 }
 
 /// Returns when the client has closed its connection; what it sends ahead is kept for later.
-async fn gone(read: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut) {
-    while buffer.len() < MOST_AHEAD {
+async fn gone(read: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut, pass: &Pass, body: usize) {
+    loop {
+        let most = MOST_AHEAD.min(pass.bytes.allowance().saturating_sub(body));
+        if buffer.len() + READ > most.max(READ) {
+            pass.bytes.room().await;
+            continue;
+        }
         buffer.reserve(READ);
+        pass.bytes.set(buffer.capacity() + body);
         if !matches!(read.read_buf(buffer).await, Ok(1..)) {
             return;
         }
     }
-    std::future::pending().await
 }
 
 /// Reads on for a moment after the last response: closing with unread bytes would reset the connection and
 /// could take that response with it.
-async fn drain(read: &mut (impl AsyncRead + Unpin)) {
+async fn drain(read: &mut (impl AsyncRead + Unpin), longest: Duration) {
     let mut scrap = [0; READ];
     let rest = async {
         for _ in 0..MOST_AHEAD / READ {
@@ -221,5 +318,5 @@
         }
     };
     // Either way the connection ends here.
-    let _ = tokio::time::timeout(LAST, rest).await;
+    let _ = tokio::time::timeout(longest, rest).await;
 }
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -1,10 +1,13 @@
 //! Follows discovery: the whole list once, then one watch after the other.
 
 use super::client;
+use super::places::Places;
 use super::stream::{Dial, dial_within};
+use crate::limits::Side;
 use crate::protocol::{discovery, http};
 use crate::routing::Broker;
 use bytes::BytesMut;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -16,7 +19,12 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// Tells the broker whatever discovery says, for as long as the process lives. Serving never waits for it.
-pub async fn follow(dial: &dyn Dial, mut address: watch::Receiver<String>, broker: &Broker) {
+pub async fn follow(
+    dial: &dyn Dial,
+    mut address: watch::Receiver<String>,
+    broker: &Broker,
+    places: &Rc<Places>,
+) {
     let (mut at, mut revision, mut said) = (String::new(), None, String::new());
     loop {
         let next = address.borrow_and_update().clone();
@@ -24,6 +32,8 @@
             // Guards against changes missed between the two: another agent is asked for its whole list.
             (at, revision, said) = (next, None, String::new());
         }
+        // Its floor holds it: it never has to wait for long, whatever the crowd.
+        let _place = places.take(Side::Discovery).await;
         let error = tokio::select! {
             biased;
             Ok(()) = address.changed() => continue,
--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -1,7 +1,11 @@
-//! Connections to workers: a few lines to each, many parts on a line, and the exact outcome of every attempt.
+//! Connections to workers: a few lines to each, many parts on a line, and the exact outcome of every attempt. Which
+//! line takes a call, and who may open the next, is decided in [`crate::limits::lines`].
 
+use super::places::{Buffered, Place, Places};
 use super::stream::{Dial, Stream, dial_within};
 use crate::api::*;
+use crate::limits::Side;
+use crate::limits::lines::{self, Choice};
 use crate::protocol::frame::{self, Incoming};
 use crate::routing::{Broker, Carrier, Dispatch, End, Limits, Ticket};
 use bytes::{Buf, Bytes, BytesMut};
@@ -32,7 +36,7 @@
     broker: Broker,
     dial: Rc<dyn Dial>,
     limits: Limits,
-    most_lines: usize,
+    places: Rc<Places>,
     /// Silence after a written call from which a line takes no further ones, and is given up with that call.
     silence: Duration,
     fields: Vec<Field>,
@@ -59,6 +63,9 @@
     heard: Cell<Instant>,
     retired: Cell<bool>,
     news: Notify,
+    /// Its descriptor, once it may have one; firm while anything is out on it.
+    place: RefCell<Option<Place>>,
+    used: Cell<Instant>,
 }
 
 struct Frame {
@@ -79,6 +86,8 @@
     Closed(String),
     /// The worker sent what is no answer: nothing further on the connection can be trusted.
     Spoilt(String),
+    /// There was no place for it: nothing was tried.
+    Unopened(String),
 }
 
 impl Line {
@@ -91,6 +100,8 @@
             heard: Cell::new(Instant::now()),
             retired: Cell::new(false),
             news: Notify::new(),
+            place: RefCell::default(),
+            used: Cell::new(Instant::now()),
         }
     }
 
@@ -123,7 +134,9 @@
             calls.insert(id.clone(), Call { ticket: part.ticket, written: None });
             ids.push(id);
         }
+        drop(calls);
         self.frames.borrow_mut().push_back(Frame { rest: frame::call(parts), begun: false, ids });
+        self.hold();
         self.news.notify_one();
     }
 
@@ -190,21 +203,32 @@
         tickets
     }
 
+    /// Holds its place firmly while anything is out, and loosely else.
+    fn hold(&self) {
+        if let Some(place) = &*self.place.borrow() {
+            if self.quiet() {
+                place.unpin();
+            } else {
+                place.pin();
+            }
+        }
+    }
+
     fn quiet(&self) -> bool {
         self.calls.borrow().is_empty() && self.frames.borrow().is_empty()
     }
 }
 
 impl Workers {
-    /// No connections yet; they are opened as calls need them, so many at most.
-    pub fn new(broker: Broker, dial: Rc<dyn Dial>, most_lines: usize) -> Workers {
+    /// No connections yet; they are opened as calls need them and places allow.
+    pub fn new(broker: Broker, dial: Rc<dyn Dial>, places: Rc<Places>) -> Workers {
         let contracts = broker.core(|core| core.contracts().clone());
         let (limits, settings) = (contracts.limits, contracts.settings);
         // Guards against writing on into a machine that vanished: silence is judged by what answers may take here.
         let aims = settings.classes.iter().map(|class| class.aim);
         let silence = aims.min().unwrap_or_default().mul_f64(SILENT);
         let (fields, links) = (settings.fields, RefCell::default());
-        Workers(Rc::new(Shared { broker, dial, limits, most_lines, silence, fields, links }))
+        Workers(Rc::new(Shared { broker, dial, limits, places, silence, fields, links }))
     }
 
     fn end_all(&self, tickets: Vec<Ticket>, outcome: Outcome) {
@@ -217,37 +241,75 @@
         link.lines.iter().flat_map(|line| line.unsent()).collect()
     }
 
-    /// The line for a call: one with room, else a new one, else the one with least to do. What runs once gets a new one
-    /// for itself. Guards against kept connections that the worker closes or resets just as a call is written: it may
-    /// have run then, and its query is lost; and against losing it to an answer spoilt for another.
+    /// The line for a call, where the worker takes any.
     fn line(&self, leaf: LeafId, parts: &[Dispatch]) -> Option<Rc<Line>> {
         let once = parts.iter().any(|part| part.once);
         let mut links = self.0.links.borrow_mut();
-        let in_all: usize = links.values().map(|link| link.lines.len()).sum();
         let link = links.get_mut(&leaf).filter(|link| link.open)?;
-        let room = |line: &&Rc<Line>| !once && line.room(parts, self.0.limits.multiplex, self.0.silence);
-        if let Some(line) = link.lines.iter().find(room) {
-            return Some(line.clone());
+        // An idle line holds its place loosely, and needs a firm one again.
+        let may_pin = self.0.places.descriptors(|all| all.may_pin(Side::Workers));
+        let seen = link.lines.iter().map(|line| lines::Line {
+            calls: line.calls.borrow().len(),
+            room: line.room(parts, self.0.limits.multiplex, self.0.silence) && (may_pin || !line.quiet()),
+            live: !line.retired.get(),
+        });
+        match lines::choose(once, &seen.collect::<Vec<_>>(), MOST_LINES) {
+            Choice::Use(at) => link.lines.get(at).cloned(),
+            Choice::Open => {
+                let line = Rc::new(Line::new(&link.address));
+                link.lines.push(line.clone());
+                let left = parts.iter().map(|part| part.timeout).min().unwrap_or_default();
+                tokio::task::spawn_local(self.clone().run(leaf, line.clone(), left));
+                Some(line)
+            }
         }
-        let live = link.lines.iter().filter(|line| !line.retired.get());
-        if (once || live.clone().count() < MOST_LINES) && in_all < self.0.most_lines {
-            let line = Rc::new(Line::new(&link.address));
-            link.lines.push(line.clone());
-            tokio::task::spawn_local(self.clone().run(leaf, line.clone()));
-            return Some(line);
+    }
+
+    /// Closes the line that has been idle the longest whenever its place is needed, for as long as the process lives.
+    pub async fn give_way(self) {
+        loop {
+            self.0.places.recalled(Side::Workers).await;
+            let links = self.0.links.borrow();
+            let lines = links.values().flat_map(|link| &link.lines);
+            let idle =
+                lines.filter(|line| line.quiet() && !line.retired.get() && line.place.borrow().is_some());
+            if let Some(line) = idle.min_by_key(|line| line.used.get()) {
+                self.0.places.tally.borrow_mut().lines_gave_way += 1;
+                line.retired.set(true);
+                line.news.notify_one();
+            }
+        }
+    }
+
+    /// Waits for a place and connects; `None` where the line is no longer needed by then.
+    async fn connect(
+        &self,
+        leaf: LeafId,
+        line: &Line,
+        left: Duration,
+    ) -> Result<Option<Box<dyn Stream>>, Cut> {
+        let opening = self.0.places.open(leaf, left).await;
+        let opening = opening.map_err(|turned| Cut::Unopened(turned.to_string()))?;
+        if line.quiet() {
+            return Ok(None);
         }
-        live.min_by_key(|line| line.calls.borrow().len()).cloned()
+        let stream = dial_within(&*self.0.dial, &line.address, self.0.limits.connect_timeout).await;
+        let stream = stream.map_err(|error| Cut::Closed(format!("cannot connect: {error}")))?;
+        line.place.replace(Some(opening.up()));
+        Ok(Some(stream))
     }
 
     /// The life of one line.
-    async fn run(self, leaf: LeafId, line: Rc<Line>) {
-        let why = match dial_within(&*self.0.dial, &line.address, self.0.limits.connect_timeout).await {
-            Ok(stream) => self.serve(stream, &line).await,
-            Err(error) => Cut::Closed(format!("cannot connect: {error}")),
+    async fn run(self, leaf: LeafId, line: Rc<Line>, left: Duration) {
+        let why = match self.connect(leaf, &line, left).await {
+            Ok(Some(stream)) => self.serve(stream, &line).await,
+            Ok(None) => Cut::Closed("no longer needed".to_owned()),
+            Err(cut) => cut,
         };
-        let (why, written) = match why {
-            Cut::Closed(why) => (why, Outcome::Reset),
-            Cut::Spoilt(why) => (why, Outcome::Error),
+        let (why, unwritten, written) = match why {
+            Cut::Closed(why) => (why, Outcome::Refused, Outcome::Reset),
+            Cut::Spoilt(why) => (why, Outcome::Refused, Outcome::Error),
+            Cut::Unopened(why) => (why, Outcome::Skipped, Outcome::Reset),
         };
         line.retired.set(true);
         let mut links = self.0.links.borrow_mut();
@@ -259,10 +321,11 @@
         }
         links.retain(|_, link| link.listed || !link.lines.is_empty());
         drop(links);
+        line.place.take();
         // After a frame's last byte its parts may have run; before that none can have.
         let calls = line.calls.take();
         for call in calls.into_values() {
-            let outcome = if call.written.is_some() { written } else { Outcome::Refused };
+            let outcome = if call.written.is_some() { written } else { unwritten };
             self.0.broker.ended(call.ticket, End::bare(outcome));
         }
     }
@@ -273,16 +336,19 @@
         let mut buffer = BytesMut::new();
         let idle = self.0.limits.conn_idle.mul_f64(IDLE_SHARE);
         let mut used = Instant::now();
+        let bytes = Buffered::new(&self.0.places);
         // When the frame that is not all there began.
         let mut begun = None;
         loop {
             if line.quiet() && line.retired.get() {
                 return Cut::Closed("retired".to_owned());
             }
+            line.hold();
             let front = line.front();
             // Guards against answers that never end: the rest of a frame may take as long as a connection may.
             let rest = begun.unwrap_or(used) + self.0.limits.connect_timeout;
             buffer.reserve(READ.saturating_sub(buffer.len()).max(1024));
+            bytes.set(buffer.capacity());
             tokio::select! {
                 biased;
                 count = read.read_buf(&mut buffer) => match count {
@@ -315,6 +381,7 @@
             }
             if !line.quiet() {
                 used = Instant::now();
+                line.used.set(used);
             }
         }
     }
--- a/tests/listener.rs
+++ b/tests/listener.rs
@@ -1,25 +1,97 @@
-//! The listener on loopback sockets: how many clients it holds, and who makes room.
+//! The listener on loopback sockets, in a crowd of many times the descriptors: the usual clients lose nothing.
 
+use clayshore::limits::{Plan, Side};
 use clayshore::protocol::http::{Malformed, Request, Response};
-use clayshore::transport::listener::{Front, Gate, Phase, accept};
+use clayshore::transport::gate::{Gate, Phase};
+use clayshore::transport::listener::{Accept, Accepting, Front, accept};
+use clayshore::transport::places::{Place, Places};
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::sync::Semaphore;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 
-struct Echo;
+/// Says its path. `/held` is answered only when the test lets it.
+struct Echo(Rc<Semaphore>);
 
 impl Front for Echo {
     async fn respond(&self, request: Request) -> Response {
+        match request.path.as_str() {
+            "/held" => drop(self.0.acquire().await),
+            "/rubbish" => return Response::text(400, "rubbish"),
+            _ => {}
+        }
         Response::text(200, request.path)
     }
     fn malformed(&self, error: Malformed) -> Response {
         Response::text(error.status(), error.to_string())
     }
+    fn crowded(&self) -> Response {
+        Response::text(503, "crowded").with("Retry-After", "1")
+    }
+    fn caller<'a>(&self, request: &'a Request) -> Option<&'a str> {
+        request.headers.get("X-Caller")
+    }
 }
 
-async fn ask(stream: &mut TcpStream, path: &str) -> String {
+/// A gate with a listener in front of it.
+struct House {
+    gate: Rc<Gate>,
+    address: SocketAddr,
+    held: Rc<Semaphore>,
+    accepting: JoinHandle<()>,
+}
+
+/// Fails for want of descriptors before each connection that it takes.
+struct Short(TcpListener, Cell<u32>);
+
+impl Accept for Short {
+    fn accept(&self) -> Accepting<'_> {
+        Box::pin(async move {
+            if self.1.get() > 0 {
+                self.1.set(self.1.get() - 1);
+                return Err(io::Error::other("Too many open files"));
+            }
+            let accepted = Accept::accept(&self.0).await;
+            self.1.set(1);
+            accepted
+        })
+    }
+}
+
+impl House {
+    async fn open(descriptors: usize, failures: u32) -> House {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let places = Places::new(Plan::new(descriptors, 16).expect("enough"), 4 << 20);
+        let (gate, held) = (Gate::new(places), Rc::new(Semaphore::new(0)));
+        let front = Rc::new(Echo(held.clone()));
+        let accepting = if failures > 0 {
+            spawn_local(accept(Short(listener, Cell::new(failures)), front, gate.clone()))
+        } else {
+            spawn_local(accept(listener, front, gate.clone()))
+        };
+        let tended = gate.clone();
+        spawn_local(async move { tended.tend().await });
+        House { gate, address, held, accepting }
+    }
+    fn free(&self) -> usize {
+        self.gate.places().descriptors(|all| all.free())
+    }
+    async fn client(&self) -> TcpStream {
+        TcpStream::connect(self.address).await.expect("connected")
+    }
+}
+
+async fn say(stream: &mut TcpStream, path: &str) {
     stream.write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes()).await.expect("written");
+}
+
+async fn hear(stream: &mut TcpStream, path: &str) -> String {
     let mut text = Vec::new();
     while !text.ends_with(format!("{path}\n").as_bytes()) {
         assert!(stream.read_buf(&mut text).await.expect("readable") > 0, "the connection ended");
@@ -27,31 +99,203 @@
     String::from_utf8(text).expect("text")
 }
 
-#[test]
-fn an_idle_connection_makes_room_and_the_last_ones_end_with_the_gate() {
-    // Guards against a listener that is full of idle clients and takes no others, and against one that never ends.
+async fn ask(stream: &mut TcpStream, path: &str) -> String {
+    say(stream, path).await;
+    hear(stream, path).await
+}
+
+/// A usual client: where its kept connection was closed between two requests, it asks once more on a new one.
+async fn usual(address: SocketAddr, kept: &mut Option<TcpStream>) -> String {
+    if let Some(stream) = kept {
+        let mut text = Vec::new();
+        if stream.write_all(b"GET /usual HTTP/1.1\r\n\r\n").await.is_ok() {
+            while !text.ends_with(b"/usual\n") && matches!(stream.read_buf(&mut text).await, Ok(1..)) {}
+        }
+        if !text.is_empty() {
+            return String::from_utf8(text).expect("text");
+        }
+    }
+    let stream = kept.insert(TcpStream::connect(address).await.expect("connected"));
+    ask(stream, "/usual").await
+}
+
+/// One of a crowd: it misbehaves in its own way, and is back at once whenever it is closed.
+async fn nuisance(address: SocketAddr, number: usize) {
+    loop {
+        let Ok(mut stream) = TcpStream::connect(address).await else { return };
+        let words: &[u8] = match number % 5 {
+            0 => b"",
+            1 => b"GET /half HTTP/1.1\r\nX-Pad:",
+            2 => b"GET /once HTTP/1.1\r\n\r\n",
+            3 => b"\0\0 rubbish \r\n\r\n",
+            _ => b"GET /rubbish HTTP/1.1\r\n\r\n",
+        };
+        let mut scrap = [0; 512];
+        // It may be closed at any point: that is what it came for.
+        if stream.write_all(words).await.is_ok() {
+            while matches!(stream.read(&mut scrap).await, Ok(1..)) {
+                if number.is_multiple_of(10) && stream.write_all(b"a").await.is_err() {
+                    break;
+                }
+            }
+        }
+    }
+}
+
+fn run(main: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let gate = Gate::new(2);
-        let accepting = spawn_local(accept(listener, Rc::new(Echo), gate.clone()));
-        let mut clients = Vec::new();
-        for path in ["/a", "/b", "/c"] {
-            let mut client = TcpStream::connect(address).await.expect("connected");
-            assert!(ask(&mut client, path).await.starts_with("HTTP/1.1 200 OK\r\n"));
-            clients.push(client);
-        }
-        let mut scrap = [0; 1];
-        assert_eq!(clients[0].read(&mut scrap).await.expect("an end"), 0, "the one idle longest made room");
-        gate.enter(Phase::Stopping);
-        assert!(!ask(&mut clients[1], "/d").await.contains("Connection: close\r\n"));
-        gate.enter(Phase::Closing);
-        assert_eq!(
-            clients[2].read(&mut scrap).await.expect("an end"),
-            0,
-            "idle connections end with the gate"
-        );
-        accepting.await.expect("accepting ends");
+    LocalSet::new().block_on(&runtime, main);
+}
+
+/// Takes all places of the servers' side, firmly, as wide queries do.
+fn servers_at_their_floor(places: &Rc<Places>) -> Vec<Place> {
+    let floor = places.descriptors(|all| all.plan().floors[Side::Workers as usize]);
+    let held: Vec<Place> = (0..floor).map(|_| places.try_take(Side::Workers).expect("its floor")).collect();
+    assert!(held.iter().all(Place::pin));
+    held
+}
+
+async fn usual_clients_lose_nothing(descriptors: usize, failures: u32, floor_taken: bool, come: u64) {
+    let house = House::open(descriptors, failures).await;
+    let servers = floor_taken.then(|| servers_at_their_floor(house.gate.places()));
+    let crowd: Vec<_> =
+        (0..10 * descriptors).map(|number| spawn_local(nuisance(house.address, number))).collect();
+    // Usual clients keep their connections and come back; one that is closed between two requests comes anew.
+    let mut clients = [None, None, None, None];
+    let admitted = || house.gate.places().tally.borrow().admitted;
+    let mut rounds = 0;
+    while rounds < 10 || admitted() < come {
+        for client in &mut clients {
+            assert!(usual(house.address, client).await.starts_with("HTTP/1.1 200 OK\r\n"));
+        }
+        rounds += 1;
+        assert!(house.free() <= house.gate.places().descriptors(|all| all.plan().usable));
+        tokio::task::yield_now().await;
+    }
+    let tally = house.gate.places().tally.borrow().clone();
+    assert!(tally.most_in_all <= descriptors - 16, "{tally}");
+    assert!(tally.gave_way > 0 && tally.made_to_leave() > 0, "{tally}");
+    assert_eq!((tally.turned_away, tally.unpinned), (0, 0), "{tally}");
+    assert_eq!(tally.accept_failed > 0, failures > 0, "{tally}");
+    // At SIGTERM usual clients still have their answers, and the end comes in spite of the crowd.
+    house.gate.enter(Phase::Stopping);
+    assert!(usual(house.address, &mut clients[0]).await.starts_with("HTTP/1.1 200 OK\r\n"));
+    let mut last = house.client().await;
+    say(&mut last, "/held").await;
+    while house.gate.places().descriptors(|all| all.firm(Side::Clients)) == 0 {
+        tokio::task::yield_now().await;
+    }
+    house.gate.enter(Phase::Closing);
+    house.held.add_permits(1);
+    assert!(hear(&mut last, "/held").await.contains("Connection: close\r\n"));
+    crowd.iter().for_each(JoinHandle::abort);
+    house.accepting.await.expect("accepting ends");
+    while house.gate.open() > 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    drop(servers);
+}
+
+#[test]
+fn usual_clients_lose_nothing_to_a_crowd_of_ten_times_the_descriptors() {
+    run(usual_clients_lose_nothing(96, 0, false, 2000));
+}
+
+#[test]
+fn nor_with_the_servers_at_their_floor() {
+    run(usual_clients_lose_nothing(96, 0, true, 600));
+}
+
+#[test]
+fn nor_with_accept_failing_for_want_of_descriptors() {
+    run(usual_clients_lose_nothing(64, 1, false, 80));
+}
+
+#[test]
+fn one_with_a_query_open_is_never_cut_and_the_next_is_told_to_come_back() {
+    // Guards against a listener that cuts a query for a newcomer, and against one that leaves the newcomer waiting.
+    run(async {
+        let house = House::open(64, 0).await;
+        let mut busy = Vec::new();
+        while house.free() > 0 {
+            let mut client = house.client().await;
+            say(&mut client, "/held").await;
+            busy.push(client);
+            let firm = || house.gate.places().descriptors(|all| all.firm(Side::Clients));
+            let refused = || house.gate.places().tally.borrow().unpinned;
+            let before = firm() + refused() as usize;
+            while firm() + refused() as usize == before && house.free() > 0 {
+                tokio::task::yield_now().await;
+            }
+            if refused() > 0 {
+                break;
+            }
+        }
+        let refused = busy.pop().expect("one was refused");
+        let mut text = String::new();
+        let mut refused = refused;
+        refused.read_to_string(&mut text).await.expect("readable");
+        assert!(text.starts_with("HTTP/1.1 503 ") && text.contains("Retry-After: 1\r\n"), "{text}");
+        // Floors of the other sides stay free to be had.
+        let (places, mut others) = (house.gate.places(), Vec::new());
+        for side in [Side::Workers, Side::Discovery, Side::Files] {
+            let floor = places.descriptors(|all| all.plan().floors[side as usize]);
+            for _ in 0..floor {
+                let place = places.take(side).await;
+                assert!(place.pin(), "{side}");
+                others.push(place);
+            }
+        }
+        let mut late = house.client().await;
+        let mut text = String::new();
+        late.read_to_string(&mut text).await.expect("readable");
+        assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
+        assert_eq!(places.tally.borrow().turned_away, 1);
+        house.held.add_permits(busy.len());
+        for client in &mut busy {
+            assert!(hear(client, "/held").await.starts_with("HTTP/1.1 200 OK\r\n"));
+        }
+    });
+}
+
+#[test]
+fn half_a_request_holds_a_place_only_as_long_as_nobody_needs_it() {
+    run(async {
+        let house = House::open(64, 0).await;
+        let mut half = house.client().await;
+        half.write_all(b"POST /half HTTP/1.1\r\nX-Pad:").await.expect("written");
+        let mut others = Vec::new();
+        let mut text = String::new();
+        let closed = half.read_to_string(&mut text);
+        let more = async {
+            while house.gate.places().tally.borrow().left.iter().sum::<u64>() == 0 {
+                others.push(house.client().await);
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            read = closed => { read.expect("readable"); }
+            () = more => {}
+        }
+        assert!(text.starts_with("HTTP/1.1 408 "), "{text}");
+        assert!(house.gate.places().tally.borrow().left[1] > 0);
+    });
+}
+
+#[test]
+fn a_request_that_comes_as_its_connection_is_told_to_leave_is_served() {
+    run(async {
+        let house = House::open(64, 0).await;
+        let mut client = house.client().await;
+        ask(&mut client, "/a").await;
+        // Both happen before the connection's task runs again.
+        house.gate.places().recall(Side::Clients);
+        say(&mut client, "/b").await;
+        let spared = || house.gate.places().tally.borrow().spared;
+        let text = hear(&mut client, "/b").await;
+        assert!(text.starts_with("HTTP/1.1 200 OK\r\n"));
+        assert!(spared() <= 1);
+        assert_eq!(house.gate.places().tally.borrow().crossed, 0);
     });
 }
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -119,7 +119,7 @@
         (200, &br#"{"total":true,"answers":[{"range":3,"blob":"5be2"}]}"#[..])
     );
     client.write_all(&http::request("GET", "/_counters", "x", None)).expect("written");
-    assert!(response(&mut client).body.starts_with(b"taken=1 "));
+    assert!(response(&mut client).body.starts_with(b"counters: taken=1 "));
 
     // Guards against ending on SIGHUP, and against a faulty file that replaces a good configuration.
     let mut log = log;
@@ -134,6 +134,7 @@
 
     let log = stop(child, log);
     assert!(log.contains("counters: taken=1 malformed=0 answered_whole=1 "), "{log}");
+    assert!(log.contains("connections: admitted=1 turned_away=0 "), "{log}");
     std::fs::remove_file(path).expect("removed");
 }
 
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -3,14 +3,18 @@
 
 use bytes::{BufMut, BytesMut};
 use clayshore::api::{Status, Time};
+use clayshore::limits::Plan;
+use clayshore::limits::crowd::Source;
 use clayshore::program::config::Config;
 use clayshore::program::opensearch::OpenSearch;
 use clayshore::program::opensearch_file::FrontFile;
 use clayshore::program::platform::Platform;
 use clayshore::protocol::http;
 use clayshore::routing::{Broker, Carrier, Clock, Contracts, Core, Listing, Member};
+use clayshore::transport::gate::{Gate, Phase};
 use clayshore::transport::index_servers::IndexServers;
-use clayshore::transport::listener::{self, Front, Gate, Phase};
+use clayshore::transport::listener::{self, Front};
+use clayshore::transport::places::Places;
 use clayshore::transport::stream::{Dial, Dialling, Stream};
 use clayshore::transport::watch;
 use clayshore::transport::workers::Workers;
@@ -162,7 +166,8 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), async {
         let (first, rest) = script.split_once('\n').expect("a first line");
-        let (clock, gate, pipes) = (Clock::at(UNIX), Gate::new(64), Pipes::default());
+        let places = Places::new(Plan::new(256, 16).expect("enough"), 1 << 20);
+        let (clock, gate, pipes) = (Clock::at(UNIX), Gate::new(places.clone()), Pipes::default());
         let agent = tokio::sync::watch::Sender::new("agent".to_owned());
         match first {
             "front platform" | "front platform watching agent" => {
@@ -170,13 +175,13 @@
                 let config = Config::from_json(&json, |_| None).expect("a configuration");
                 let broker =
                     broker(config.contracts, &config.known.expect("a list"), clock, &pipes, Form::Frames);
-                let workers = Workers::new(broker.clone(), Rc::new(pipes.clone()), 16);
+                let workers = Workers::new(broker.clone(), Rc::new(pipes.clone()), places.clone());
                 if first.ends_with("agent") {
                     for name in ["agent", "agent2"] {
                         pipes.0.borrow_mut().insert(name.to_owned(), Party::new(Form::Requests));
                     }
                     let (dial, watcher, address) = (pipes.clone(), broker.clone(), agent.subscribe());
-                    spawn_local(async move { watch::follow(&dial, address, &watcher).await });
+                    spawn_local(async move { watch::follow(&dial, address, &watcher, &places).await });
                 }
                 let front = Platform { broker: broker.clone(), gate: gate.clone() };
                 run(rest, broker, workers, front, gate, pipes, agent).await
@@ -184,7 +189,7 @@
             "front opensearch" => {
                 let file = FrontFile::parse(include_str!("opensearch.toml"), 7).expect("a file");
                 let broker = broker(file.contracts, &file.servers, clock, &pipes, Form::Requests);
-                let servers = IndexServers::new(broker.clone(), Rc::new(pipes.clone()));
+                let servers = IndexServers::new(broker.clone(), Rc::new(pipes.clone()), places);
                 let front =
                     OpenSearch::new(broker.clone(), clock, gate.clone(), file.names, "start-1".to_owned(), 7);
                 run(rest, broker, servers, front, gate, pipes, agent).await
@@ -214,6 +219,8 @@
 ) -> String {
     let driver = broker.clone();
     spawn_local(async move { driver.drive(&carrier).await });
+    let tended = gate.clone();
+    spawn_local(async move { tended.tend().await });
     let (start, front) = (Instant::now(), Rc::new(front));
     let (transcript, seen) = (String::new(), String::new());
     let mut play = Play { pipes, start, transcript, seen, broker, gate, agent };
@@ -310,7 +317,10 @@
             let (near, far) = tokio::io::duplex(PIPE);
             party.connect(far);
             let (front, gate) = (front.clone(), self.gate.clone());
-            spawn_local(async move { listener::serve(near, &*front, &gate).await });
+            spawn_local(async move {
+                let pass = gate.admit(Source(1), PATIENCE).await.expect("a place");
+                listener::serve(near, ([127, 0, 0, 1], 1).into(), &*front, pass).await;
+            });
         }
         let bytes = match party.form {
             Form::Frames if what.starts_with("raw ") => what[4..].replace("\\0", "\0").into_bytes(),
