--- a/src/limits/crowd.rs
+++ b/src/limits/crowd.rs
@@ -345,13 +345,13 @@
         }
         // All others behave. Guards those of small sources against one that opens more and more.
         if let Some((most, source)) = self.sizes.last()
-            && most * self.held.len() > self.members.len() + self.held.len()
+            && most * self.held.len() > self.members.len()
             && let Some((_, _, id)) = self.by_source.get(source).and_then(BTreeSet::first)
         {
             return Some((*id, Why::OverShare));
         }
-        // Guards those who come back by habit against a flood so fast that all of it is new: the newcomers go first.
-        let idle = self.order.range((Why::Idle, Time(0), 0)..).next().filter(|(_, key, _)| *key <= now);
-        idle.or_else(|| self.order.first()).map(|(why, _, id)| (*id, *why))
+        // Guards those who come back against a flood so fast that all of it is new: the newcomers go first, for one with
+        // a request to send has sent it by the time that it is looked at. Who stays away too long is swept out anyway.
+        self.order.first().map(|(why, _, id)| (*id, *why))
     }
 }
