Records of queries, attempts and events, read back into findings and a page

Need: during an incident there is one line of counters and a log; who was hit, since when, and by what cannot be read from them, least of all when a gatherer has died.

The reader accepts no damaged line and names each by file and line. 'report' adds up any number of gatherers to service by class, tenant and worker over time, to findings (death, restart loop, slow fleet or worker, lost answers, overload, missing records) and to one HTML page or JSON; what a killed gatherer had taken shows as unknown. Off on the platform; switched on by [records] of an operator's file.

Cost a query and the large report are not measured yet.

--- /dev/null
+++ b/examples/flood.rs
@@ -0,0 +1,137 @@
+//! Measures what a flood of connections that say nothing costs the serving thread, and what a usual client beside it
+//! notices: `cargo run --release --example flood -- [connections a second] [seconds] [descriptors]`.
+
+use clayshore::limits::Plan;
+use clayshore::protocol::http::{Malformed, Request, Response};
+use clayshore::transport::gate::Gate;
+use clayshore::transport::listener::{Front, accept};
+use clayshore::transport::places::Places;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::thread;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::LocalSet;
+
+/// Threads that open connections, and addresses that each of them uses in turn: an address has only so many ports.
+const FLOODERS: u64 = 2;
+const ADDRESSES: u64 = 100;
+
+struct Echo;
+
+impl Front for Echo {
+    async fn respond(&self, request: Request) -> Response {
+        Response::text(200, request.path)
+    }
+    fn malformed(&self, error: Malformed) -> Response {
+        Response::text(error.status(), error.to_string())
+    }
+    fn crowded(&self) -> Response {
+        Response::text(503, "crowded")
+    }
+    fn caller<'a>(&self, _request: &'a Request) -> Option<&'a str> {
+        None
+    }
+}
+
+/// Processor time of this thread so far.
+fn spent() -> Duration {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let ns = text.split(' ').next().and_then(|first| first.parse().ok());
+    Duration::from_nanos(ns.unwrap_or(0))
+}
+
+/// Opens connections at this rate and says nothing on them; how many it opened.
+fn flood(to: SocketAddr, rate: u64, until: Instant, thread: u64) -> u64 {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let (start, mut opened) = (Instant::now(), 0);
+        while Instant::now() < until {
+            let due = (start.elapsed().as_secs_f64() * rate as f64) as u64;
+            while opened < due {
+                opened += 1;
+                let from = [127, 1 + thread as u8, 0, 1 + (opened % ADDRESSES) as u8];
+                tokio::task::spawn_local(async move {
+                    let socket = TcpSocket::new_v4().expect("a socket");
+                    if socket.bind(SocketAddr::from((from, 0))).is_ok()
+                        && let Ok(stream) = socket.connect(to).await
+                    {
+                        // Until it is closed, but not for good.
+                        let _ = tokio::time::timeout(Duration::from_secs(2), stream.readable()).await;
+                    }
+                });
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        opened
+    })
+}
+
+/// A usual client: one request after the other on a connection that it keeps. Latencies, and lost requests.
+fn usual(to: SocketAddr, until: Instant) -> (Vec<Duration>, u64) {
+    let (mut kept, mut latencies, mut lost): (Option<TcpStream>, Vec<Duration>, u64) = (None, Vec::new(), 0);
+    let ask = |stream: &mut TcpStream| {
+        let mut answer = [0; 512];
+        stream.write_all(b"GET /usual HTTP/1.1\r\n\r\n").is_ok()
+            && matches!(stream.read(&mut answer), Ok(1..))
+    };
+    while Instant::now() < until {
+        let begun = Instant::now();
+        let again = kept.as_mut().is_some_and(ask);
+        if !again {
+            let mut stream = TcpStream::connect(to).expect("connected");
+            lost += u64::from(!ask(&mut stream));
+            kept = Some(stream);
+        }
+        latencies.push(begun.elapsed());
+        thread::sleep(Duration::from_millis(5));
+    }
+    (latencies, lost)
+}
+
+fn main() {
+    let number = |at: usize, absent: u64| {
+        std::env::args().nth(at).map_or(absent, |text| text.parse().expect("a number"))
+    };
+    let (rate, seconds, descriptors) = (number(1, 10_000), number(2, 5), number(3, 384));
+    let _ = rlimit::increase_nofile_limit(1 << 17);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let to = listener.local_addr().expect("an address");
+        let plan = Plan::new(descriptors as usize, 16).expect("enough");
+        let gate = Gate::new(Places::new(plan, 12 << 20));
+        let tended = gate.clone();
+        tokio::task::spawn_local(async move { tended.tend().await });
+        tokio::task::spawn_local(accept(listener, Rc::new(Echo), gate.clone()));
+        let until = Instant::now() + Duration::from_secs(seconds);
+        let flooders: Vec<_> = (0..FLOODERS)
+            .map(|thread| thread::spawn(move || flood(to, rate / FLOODERS, until, thread)))
+            .collect();
+        let client = thread::spawn(move || usual(to, until));
+        let before = spent();
+        while Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let used = spent() - before;
+        let opened: u64 = flooders.into_iter().map(|flooder| flooder.join().expect("joined")).sum();
+        let (mut latencies, lost) = client.join().expect("joined");
+        latencies.sort();
+        let share = |part: f64| latencies[((latencies.len() - 1) as f64 * part) as usize];
+        let admitted = gate.places().tally.borrow().admitted;
+        println!("tried {} a second, admitted {} a second", opened / seconds, admitted / seconds);
+        println!(
+            "serving thread: {:.1}% of a core, {:.1} us a connection",
+            used.as_secs_f64() / seconds as f64 * 100.0,
+            used.as_secs_f64() / admitted.max(1) as f64 * 1e6
+        );
+        println!(
+            "usual client: {} requests, {lost} lost, {:?} at the median, {:?} at the 99th percentile",
+            latencies.len(),
+            share(0.5),
+            share(0.99)
+        );
+        println!("{}", gate.places().tally.borrow());
+    });
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod limits;
 pub mod program;
 pub mod protocol;
+pub mod records;
 pub mod routing;
 pub mod rules;
 mod state;
--- a/src/program/opensearch.rs
+++ b/src/program/opensearch.rs
@@ -89,13 +89,13 @@
             return self.search_once(checked, request.headers.get("Idempotency-Key")).await;
         }
         if self.gate.phase() != Phase::Serving {
-            return Ok(self.stopping());
+            return Ok(self.stopping(&checked.ask));
         }
         Ok(self.run(checked).await.0)
     }
 
-    fn stopping(&self) -> Response {
-        self.broker.core(|core| core.counters.refused_stopping += 1);
+    fn stopping(&self, ask: &Ask) -> Response {
+        self.broker.core(|core| core.refuse_stopping(ask.class, ask.tenant));
         opensearch::refused(Refusal::Stopping, None)
     }
 
@@ -111,7 +111,7 @@
         let mut told = match claim {
             Claim::Run(_) if self.gate.phase() != Phase::Serving => {
                 // Repeats still get their outcome; nothing new runs.
-                let refused = self.stopping();
+                let refused = self.stopping(&checked.ask);
                 self.ledger.borrow_mut().finish(self.clock.now(), key, refused.clone(), 0, false);
                 return Ok(refused);
             }
--- a/src/program/platform.rs
+++ b/src/program/platform.rs
@@ -30,7 +30,7 @@
             }
         };
         if self.gate.phase() == Phase::Closing {
-            self.broker.core(|core| core.counters.refused_stopping += 1);
+            self.broker.core(|core| core.refuse_stopping(ask.class, ask.tenant));
             return platform::refusal(Some(STOPPING_PAUSE));
         }
         if self.broker.core(|core| core.has(&ask.label)) {
--- /dev/null
+++ b/src/program/recording.rs
@@ -0,0 +1,93 @@
+//! Keeps the records of a process: its start, a line of figures each second, what changes, its stop.
+
+use super::operator::Records;
+use crate::limits::Side;
+use crate::records::folder::Recorder;
+use crate::records::line::Body;
+use crate::records::overload::Overload;
+use crate::routing::Broker;
+use crate::transport::gate::Gate;
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Time between two lines of figures.
+const EACH: Duration = Duration::from_secs(1);
+
+/// The records of one process; none are kept where no folder is set.
+#[derive(Clone, Default)]
+pub struct Recording(Rc<RefCell<Option<Recorder>>>);
+
+impl Recording {
+    /// Begins to keep records, if a folder is set; `start` names this start of this gatherer, and no other.
+    pub fn begin(
+        records: Option<&Records>,
+        gatherer: &str,
+        start: &str,
+        configuration: &str,
+        broker: &Broker,
+    ) -> io::Result<Recording> {
+        let Some(records) = records else { return Ok(Recording::default()) };
+        let recorder = Recorder::start(&records.folder, gatherer, start, records.bounds())?;
+        let recording = Recording(Rc::new(RefCell::new(Some(recorder))));
+        let (classes, tenants) = broker.core(|core| {
+            core.figures = Some(Default::default());
+            (core.contracts().classes.clone(), core.contracts().tenants.clone())
+        });
+        let configuration = format!("{:016x}", xxh3_64(configuration.as_bytes()));
+        recording.record(Body::Start { configuration, classes, tenants });
+        Ok(recording)
+    }
+
+    /// Records this.
+    pub fn record(&self, body: Body) {
+        if let Some(recorder) = &mut *self.0.borrow_mut() {
+            recorder.record(body);
+        }
+    }
+
+    /// Records figures each second, for as long as the process lives.
+    pub async fn keep(self, broker: Broker, gate: Rc<Gate>) {
+        if self.0.borrow().is_none() {
+            return;
+        }
+        let mut overload = Overload::default();
+        loop {
+            tokio::time::sleep(EACH).await;
+            self.take(&broker, &gate, &mut overload);
+        }
+    }
+
+    /// Records what has happened since the last time.
+    fn take(&self, broker: &Broker, gate: &Gate, overload: &mut Overload) {
+        let taken = broker.core(|core| {
+            let second = core.figures.as_mut().map(|figures| figures.take())?;
+            Some((std::mem::take(&mut core.news), second, core.open()))
+        });
+        let Some((news, mut second, open)) = taken else { return };
+        news.into_iter().for_each(|body| self.record(body));
+        second.open = open;
+        (second.descriptors, second.clients) =
+            gate.places().descriptors(|all| (all.plan().usable - all.free(), all.held(Side::Clients)));
+        second.buffered = gate.places().buffered();
+        if let Some(begins) = overload.second(&second) {
+            self.record(Body::Overload { begins });
+        }
+        self.record(Body::Figures(second));
+    }
+
+    /// Records the rest, and the stop. `answered` is whether all that was taken has been.
+    pub fn end(self, broker: &Broker, gate: &Gate, answered: bool) {
+        self.take(broker, gate, &mut Overload::default());
+        // Guards against a stop that hides what the process took down: without the line, the rest shows as unknown.
+        if answered {
+            self.record(Body::Stop);
+        }
+        let recorder = self.0.borrow_mut().take();
+        if let Some(recorder) = recorder {
+            recorder.close();
+        }
+    }
+}
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -3,10 +3,14 @@
 use super::config::{Config, Error};
 use super::opensearch::OpenSearch;
 use super::opensearch_file::FrontFile;
+use super::operator::Operator;
 use super::platform::Platform;
 use super::process;
+use super::recording::Recording;
+use crate::api::Settings;
 use crate::limits::Side;
-use crate::routing::{Broker, Carrier, Clock, Core};
+use crate::records::line::Body;
+use crate::routing::{Broker, Carrier, Clock, Contracts, Core};
 use crate::transport::gate::{Gate, Phase};
 use crate::transport::index_servers::IndexServers;
 use crate::transport::listener::{self, Front};
@@ -32,12 +36,20 @@
 const SLACK: Duration = Duration::from_millis(300);
 
 /// Serves the platform until SIGTERM. SIGHUP has the configuration read again.
-pub fn platform(config: Config, read: impl Fn() -> Result<Config, Error> + 'static) -> io::Result<()> {
+pub fn platform(
+    config: Config,
+    operator: Operator,
+    read: impl Fn() -> Result<Config, Error> + 'static,
+) -> io::Result<()> {
     in_runtime(async move {
         let hangups = signal(SignalKind::hangup())?;
         let listener = TcpListener::bind(config.listen).await?;
         let places = places(config.sockets, config.memory_mb)?;
-        let broker = Broker::new(Core::new(config.contracts), Clock::system());
+        let digest = digest(&config.contracts);
+        let clock = Clock::system();
+        let broker = Broker::new(Core::new(config.contracts), clock);
+        let start = format!("{:x}-{:x}", clock.now().0, std::process::id());
+        let recording = Recording::begin(operator.records.as_ref(), &config.name, &start, &digest, &broker)?;
         if let Some(known) = &config.known {
             broker.learn(known, true);
         }
@@ -51,14 +63,14 @@
         let address = discovery.subscribe();
         let watched = places.clone();
         spawn_local(async move { watch::follow(&*dial, address, &watcher, &watched).await });
-        spawn_local(reload(hangups, places, move || {
+        spawn_local(reload(hangups, places, recording.clone(), move || {
             // Where discovery is takes effect now, all else at the next start.
             let config = read()?;
             let news = format!("discovery at {}", config.discovery);
             discovery.send_replace(config.discovery);
             Ok(news)
         }));
-        serve(listener, &config.name, broker, workers, front, gate).await
+        serve(listener, &config.name, broker, workers, front, gate, recording).await
     })
 }
 
@@ -66,6 +78,7 @@
 pub fn opensearch(
     file: FrontFile,
     seed: u64,
+    operator: Operator,
     read: impl Fn() -> Result<FrontFile, Error> + 'static,
 ) -> io::Result<()> {
     in_runtime(async move {
@@ -73,10 +86,14 @@
         let listener = TcpListener::bind(file.listen).await?;
         let places = places(file.sockets, file.memory_mb)?;
         let clock = Clock::system();
+        let digest = digest(&file.contracts);
         let broker = Broker::new(Core::new(file.contracts), clock);
+        // Two starts have the same name only if they draw the same seed in the same nanosecond.
+        let start = format!("{:x}-{seed:016x}", clock.now().0);
+        let recording = Recording::begin(operator.records.as_ref(), "opensearch", &start, &digest, &broker)?;
         broker.learn(&file.servers, true);
         let learner = broker.clone();
-        spawn_local(reload(hangups, places.clone(), move || {
+        spawn_local(reload(hangups, places.clone(), recording.clone(), move || {
             // Which index servers there are takes effect now, all else at the next start.
             let servers = read()?.servers;
             learner.learn(&servers, false);
@@ -85,10 +102,8 @@
         let servers = IndexServers::new(broker.clone(), Rc::new(Tcp), places.clone());
         spawn_local(servers.clone().give_way());
         let gate = Gate::new(places);
-        // Two starts have the same name only if they draw the same seed in the same nanosecond.
-        let start = format!("{:x}-{seed:016x}", clock.now().0);
         let front = OpenSearch::new(broker.clone(), clock, gate.clone(), file.names, start, seed);
-        serve(listener, "opensearch", broker, servers, front, gate).await
+        serve(listener, "opensearch", broker, servers, front, gate, recording).await
     })
 }
 
@@ -105,6 +120,7 @@
     carrier: impl Carrier + 'static,
     front: impl Front + 'static,
     gate: Rc<Gate>,
+    recording: Recording,
 ) -> io::Result<()> {
     let longest =
         broker.core(|core| core.contracts().settings.classes.iter().map(|class| class.deadline).max());
@@ -113,14 +129,23 @@
     spawn_local(async move { driver.drive(&carrier).await });
     let tended = gate.clone();
     spawn_local(async move { tended.tend().await });
+    let kept = spawn_local(recording.clone().keep(broker.clone(), gate.clone()));
     spawn_local(listener::accept(listener, Rc::new(front), gate.clone()));
     log::info!("{name} serving on {at}");
     stopped().await?;
-    wind_up(&broker, &gate, longest.unwrap_or_default()).await;
+    let answered = wind_up(&broker, &gate, longest.unwrap_or_default()).await;
+    kept.abort();
+    recording.end(&broker, &gate, answered);
     counts(&broker, &gate).lines().for_each(|line| log::info!("{line}"));
     Ok(())
 }
 
+/// What tells one configuration from another; the seed is new with each start.
+fn digest(contracts: &Contracts) -> String {
+    let settings = Settings { seed: 0, ..contracts.settings.clone() };
+    format!("{:?}", Contracts { settings, ..contracts.clone() })
+}
+
 /// All counts since the start, a line each: of queries and attempts, and of connections.
 pub fn counts(broker: &Broker, gate: &Gate) -> String {
     let queries = broker.core(|core| core.counters.to_string());
@@ -135,12 +160,23 @@
 
 /// Reads the configuration again at each SIGHUP, and says what holds from now on; nothing that is in flight notices.
 /// A faulty file changes nothing.
-async fn reload(mut hangups: Signal, places: Rc<Places>, mut read: impl FnMut() -> Result<String, Error>) {
+async fn reload(
+    mut hangups: Signal,
+    places: Rc<Places>,
+    recording: Recording,
+    mut read: impl FnMut() -> Result<String, Error>,
+) {
     while hangups.recv().await.is_some() {
         let _place = places.take(Side::Files).await;
         match read() {
-            Ok(news) => log::info!("configuration read again: {news}"),
-            Err(error) => log::error!("configuration not read again, the old one holds: {error}"),
+            Ok(what) => {
+                log::info!("configuration read again: {what}");
+                recording.record(Body::Reload { taken: true, what });
+            }
+            Err(error) => {
+                log::error!("configuration not read again, the old one holds: {error}");
+                recording.record(Body::Reload { taken: false, what: error.to_string() });
+            }
         }
     }
 }
@@ -155,8 +191,9 @@
     Ok(())
 }
 
-/// Sees out those who still come, takes nothing new, and returns once all that was taken is answered.
-async fn wind_up(broker: &Broker, gate: &Gate, longest: Duration) {
+/// Sees out those who still come, takes nothing new, and returns once all that was taken is answered, or `false` once
+/// its time is up.
+async fn wind_up(broker: &Broker, gate: &Gate, longest: Duration) -> bool {
     log::info!("stopping: {} connections are open", gate.open());
     gate.enter(Phase::Stopping);
     // Where deadlines are short, clients keep the connections they have for longer: another gatherer may be down.
@@ -168,7 +205,9 @@
             tokio::time::sleep(LOOK).await;
         }
     };
-    if tokio::time::timeout(longest + SLACK, all_answered).await.is_err() {
+    let answered = tokio::time::timeout(longest + SLACK, all_answered).await.is_ok();
+    if !answered {
         log::warn!("stopped with {} connections open", gate.open());
     }
+    answered
 }
--- a/src/routing/broker.rs
+++ b/src/routing/broker.rs
@@ -69,7 +69,8 @@
 impl Drop for Asked<'_> {
     fn drop(&mut self) {
         if self.broker.0.waiting.borrow_mut().remove(&self.query).is_some() {
-            self.broker.0.core.borrow_mut().client_left(self.query);
+            let now = self.broker.0.clock.now();
+            self.broker.0.core.borrow_mut().client_left(now, self.query);
             self.broker.0.news.notify_one();
         }
     }
@@ -109,7 +110,7 @@
 
     /// Discovery has news.
     pub fn learn(&self, listing: &Listing, cached: bool) {
-        self.0.core.borrow_mut().learn(listing, cached);
+        self.0.core.borrow_mut().learn(self.0.clock.now(), listing, cached);
         self.0.news.notify_one();
     }
 
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -5,6 +5,8 @@
 use super::roster::{Listing, Roster};
 use crate::Aggregator;
 use crate::api::*;
+use crate::records::figures::{self, Figures, Seen};
+use crate::records::line::{Body, WorkerState};
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -171,6 +173,8 @@
     once: bool,
     valid_until: Time,
     parts: Vec<RequestId>,
+    seen: Seen,
+    taken: Time,
 }
 
 struct HeldPart {
@@ -186,6 +190,19 @@
     deadline: Time,
 }
 
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => figures::DONE,
+        Outcome::Error => "error",
+        Outcome::Busy => "busy",
+        Outcome::TimedOut => "timed_out",
+        Outcome::Refused => "refused",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::Skipped => "skipped",
+    }
+}
+
 /// One broker's state.
 pub struct Core {
     contracts: Contracts,
@@ -201,6 +218,12 @@
     next: u64,
     /// What it has counted so far.
     pub counters: Counters,
+    /// The same by class, tenant and server, for the records; `None` where there are none.
+    pub figures: Option<Figures>,
+    /// What has changed since it was last read, for the records; nothing where there are none.
+    pub news: Vec<Body>,
+    /// How each listed server was last told of.
+    told: HashMap<LeafId, WorkerState>,
 }
 
 impl Core {
@@ -219,6 +242,9 @@
             listed: HashSet::new(),
             next: 1,
             counters: Counters::default(),
+            figures: None,
+            news: Vec::new(),
+            told: HashMap::new(),
         }
     }
 
@@ -250,8 +276,13 @@
     /// Takes a query in. Its answer comes as [`Order::Settle`].
     pub fn offer(&mut self, now: Time, ask: Ask) -> Result<RequestId, Verdict> {
         self.counters.taken += 1;
+        let seen = Seen { class: ask.class.0, tenant: ask.tenant.map(|tenant| tenant.0) };
+        if let Some(figures) = &mut self.figures {
+            figures.taken(seen);
+        }
         if self.queries.len() + self.parts.len() >= self.contracts.limits.max_open {
             self.counters.refused_full += 1;
+            self.note(seen, figures::End::RefusedFull, Duration::ZERO);
             return Err(Verdict::Refused {
                 why: Refusal::Full,
                 pause: self.contracts.settings.longest_pause,
@@ -263,7 +294,8 @@
         self.inbox.push(Event::Query(NewQuery { id, class, tenant, valid_until, job, retry }));
         let once =
             self.contracts.settings.classes.get(class.0).is_none_or(|c| c.effect != Effect::Repeatable);
-        let mut held = Held { label: ask.label, text: ask.text, once, valid_until, parts: Vec::new() };
+        let (label, text, parts) = (ask.label, ask.text, Vec::new());
+        let mut held = Held { label, text, once, valid_until, parts, seen, taken: now };
         for AskPart { shard, weight, hint, key } in ask.parts {
             let part = RequestId(self.id());
             self.inbox.push(Event::Part(NewPart { id: part, key, hint, job, shard, weight }));
@@ -275,9 +307,10 @@
     }
 
     /// The client of a query has gone away.
-    pub fn client_left(&mut self, id: RequestId) {
-        if self.close(id).is_some() {
+    pub fn client_left(&mut self, now: Time, id: RequestId) {
+        if let Some((query, _)) = self.close(id) {
             self.counters.left += 1;
+            self.note(query.seen, figures::End::Left, now.since(query.taken));
             self.inbox.push(Event::ClientLeft { id });
         }
     }
@@ -291,6 +324,10 @@
     fn book(&mut self, now: Time, ticket: Ticket, flight: &Flight, end: End) {
         let End { outcome, value, report } = end;
         self.counters.ended(outcome);
+        if let Some(figures) = &mut self.figures {
+            let name = self.roster.name(flight.leaf).unwrap_or_default();
+            figures.attempt(name, outcome_name(outcome), now.since(flight.sent));
+        }
         let held = self.parts.get_mut(&ticket.part);
         let over = outcome == Outcome::Done || held.is_none();
         if let Some(part) = held.filter(|_| outcome == Outcome::Done) {
@@ -310,7 +347,7 @@
     }
 
     /// News from discovery; `cached` for the list as last held.
-    pub fn learn(&mut self, listing: &Listing, cached: bool) {
+    pub fn learn(&mut self, now: Time, listing: &Listing, cached: bool) {
         self.counters.listings += 1;
         let mut entries = Vec::new();
         let mut named = HashSet::new();
@@ -338,6 +375,7 @@
             self.orders.extend(gone.into_iter().map(|leaf| Order::Gone { leaf }));
             self.listed = entries.iter().filter(|e| e.status != Status::Gone).map(|e| e.leaf).collect();
         }
+        self.tell(now, listing, &entries);
         let known: Vec<LeafId> = self.roster.all().collect();
         if known.len() > MOST_NAMES {
             let busy: HashSet<LeafId> = self.flights.values().map(|flight| flight.leaf).collect();
@@ -351,6 +389,39 @@
         }));
     }
 
+    /// Tells the records what a list has changed.
+    fn tell(&mut self, now: Time, listing: &Listing, entries: &[Entry]) {
+        if self.figures.is_none() {
+            return;
+        }
+        let (revision, complete, workers) = (listing.revision, listing.complete, self.listed.len());
+        self.news.push(Body::List { revision, complete, workers });
+        let warm_up = self.contracts.settings.warm_up;
+        let state = |entry: &Entry| match entry.status {
+            Status::Gone => WorkerState::Gone,
+            Status::Draining => WorkerState::Draining,
+            Status::Active if entry.since.is_some_and(|since| now.since(since) < warm_up) => {
+                WorkerState::Cold
+            }
+            Status::Active => WorkerState::Active,
+        };
+        let mut states: Vec<(LeafId, WorkerState)> = entries.iter().map(|e| (e.leaf, state(e))).collect();
+        let gone = self.told.keys().filter(|leaf| !self.listed.contains(leaf));
+        states.extend(gone.map(|leaf| (*leaf, WorkerState::Gone)));
+        for (leaf, state) in states {
+            let before = match state {
+                WorkerState::Gone => self.told.remove(&leaf),
+                state => self.told.insert(leaf, state),
+            };
+            if before != Some(state)
+                && (state != WorkerState::Gone || before.is_some())
+                && let Some(name) = self.roster.name(leaf)
+            {
+                self.news.push(Body::Worker { worker: name.to_owned(), state });
+            }
+        }
+    }
+
     /// When [`Core::turn`] is next to be called, if nothing happens before.
     pub fn next_due(&self, now: Time) -> Option<Time> {
         if !self.inbox.is_empty() || !self.orders.is_empty() {
@@ -396,7 +467,7 @@
         for query in self.queries.keys().filter(overdue).copied().collect::<Vec<_>>() {
             self.inbox.push(Event::ClientLeft { id: query });
             self.orders.push(Order::Trace(format!("query {} ran past its time", query.0)));
-            self.settle(query, |_| Verdict::Failed);
+            self.settle(now, query, figures::End::FailedOverdue, |_| Verdict::Failed);
         }
         std::mem::take(&mut self.orders)
     }
@@ -412,14 +483,21 @@
                 self.orders.push(Order::Abandon { leaf: flight.leaf, ticket });
                 self.book(now, ticket, &flight, End::bare(Outcome::Cancelled));
             }
-            Action::Answer { id, whole } => self.settle(id, |parts| {
-                let values = parts.into_iter().filter_map(|part| Some((part.shard, part.value?))).collect();
-                Verdict::Answered { whole, values }
-            }),
+            Action::Answer { id, whole } => {
+                let end = if whole { figures::End::WholeInTime } else { figures::End::Partial };
+                self.settle(now, id, end, |parts| {
+                    let values =
+                        parts.into_iter().filter_map(|part| Some((part.shard, part.value?))).collect();
+                    Verdict::Answered { whole, values }
+                });
+            }
             Action::Refuse { id, pause } => {
-                self.settle(id, |_| Verdict::Refused { why: Refusal::Declined, pause });
+                let refused = |_| Verdict::Refused { why: Refusal::Declined, pause };
+                self.settle(now, id, figures::End::RefusedDeclined, refused);
+            }
+            Action::Fail { id } => {
+                self.settle(now, id, figures::End::FailedGivenUp, |_| Verdict::Failed);
             }
-            Action::Fail { id } => self.settle(id, |_| Verdict::Failed),
             Action::Wake { after, handle } => {
                 let number = self.id();
                 self.timers.insert((now.after(after), number), handle);
@@ -454,15 +532,39 @@
         }
     }
 
+    fn note(&mut self, seen: Seen, end: figures::End, took: Duration) {
+        if let Some(figures) = &mut self.figures {
+            figures.ended(seen, end, took);
+        }
+    }
+
+    /// A query came too late to be taken: the process is stopping.
+    pub fn refuse_stopping(&mut self, class: ClassId, tenant: Option<TenantId>) {
+        self.counters.refused_stopping += 1;
+        let seen = Seen { class: class.0, tenant: tenant.map(|tenant| tenant.0) };
+        self.note(seen, figures::End::RefusedStopping, Duration::ZERO);
+    }
+
     /// Ends a query here; `None` if it has ended before. Its parts go with it.
-    fn close(&mut self, id: RequestId) -> Option<Vec<HeldPart>> {
+    fn close(&mut self, id: RequestId) -> Option<(Held, Vec<HeldPart>)> {
         let query = self.queries.remove(&id)?;
-        Some(query.parts.iter().filter_map(|part| self.parts.remove(part)).collect())
+        let parts = query.parts.iter().filter_map(|part| self.parts.remove(part)).collect();
+        Some((query, parts))
     }
 
-    fn settle(&mut self, query: RequestId, verdict: impl FnOnce(Vec<HeldPart>) -> Verdict) {
-        let Some(parts) = self.close(query) else { return };
+    fn settle(
+        &mut self,
+        now: Time,
+        query: RequestId,
+        end: figures::End,
+        verdict: impl FnOnce(Vec<HeldPart>) -> Verdict,
+    ) {
+        let Some((held, parts)) = self.close(query) else { return };
         let verdict = verdict(parts);
+        let took = now.since(held.taken);
+        let aim = self.contracts.settings.classes.get(held.seen.class).map(|class| class.aim);
+        let late = end == figures::End::WholeInTime && aim.is_some_and(|aim| took > aim);
+        self.note(held.seen, if late { figures::End::WholeLate } else { end }, took);
         *match &verdict {
             Verdict::Answered { whole: true, .. } => &mut self.counters.answered_whole,
             Verdict::Answered { whole: false, .. } => &mut self.counters.answered_part,
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -61,6 +61,11 @@
         self.ids.get(name).copied()
     }
 
+    /// The name of a server.
+    pub fn name(&self, leaf: LeafId) -> Option<&str> {
+        self.names.get(&leaf).map(String::as_str)
+    }
+
     /// All servers ever listed.
     pub fn all(&self) -> impl Iterator<Item = LeafId> + '_ {
         self.names.keys().copied()
--- a/src/transport/places.rs
+++ b/src/transport/places.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
-/// Calls that may wait for a connection, for each connection that the servers' side is sure of.
+/// Calls that may wait for a connection, for each descriptor that there is: wide queries wait part by part.
 const WAITS_EACH: usize = 2;
 /// Share of the servers' floor that may be coming up at once.
 const OPENING: usize = 4;
@@ -44,7 +44,7 @@
         Rc::new(Places {
             start: Instant::now(),
             bytes: RefCell::new(Bytes::new(bytes, plan.usable)),
-            openings: RefCell::new(Openings::new(floor * WAITS_EACH, (floor / OPENING).max(4))),
+            openings: RefCell::new(Openings::new(plan.usable * WAITS_EACH, (floor / OPENING).max(4))),
             descriptors: RefCell::new(Descriptors::new(plan)),
             waiting: RefCell::default(),
             recalls: Default::default(),
@@ -66,6 +66,10 @@
     pub fn descriptors<T>(&self, read: impl FnOnce(&Descriptors) -> T) -> T {
         read(&self.descriptors.borrow())
     }
+    /// Bytes that are buffered for peers.
+    pub fn buffered(&self) -> usize {
+        self.bytes.borrow().used()
+    }
     /// How scarce descriptors and bytes are for all sides together.
     pub fn scarcity(&self) -> Scarcity {
         let descriptors = self.descriptors.borrow();
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -64,7 +64,7 @@
 }
 
 /// Starts the program; returns where it serves, and the rest of its log.
-fn start(command: &mut Command) -> (Child, String, impl BufRead) {
+fn start(command: &mut Command) -> (Child, String, impl BufRead + use<>) {
     let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
     let mut log = BufReader::new(child.stderr.take().expect("piped"));
     let mut lines = log.by_ref().lines().map(|line| line.expect("a line"));
@@ -152,6 +152,78 @@
     std::fs::remove_file(path).expect("removed");
 }
 
+/// Runs the program to its end: its status, and what it printed.
+fn told(arguments: &[&str]) -> (Option<i32>, String) {
+    let run = Command::new(env!("CARGO_BIN_EXE_clayshore")).args(arguments).output().expect("it runs");
+    let text = [run.stdout, run.stderr].concat();
+    (run.status.code(), String::from_utf8(text).expect("text"))
+}
+
+#[test]
+fn a_killed_gatherer_is_found_in_its_records() {
+    let folder = std::env::temp_dir().join(format!("clayshore-records-{}", std::process::id()));
+    let (front, operator) = (folder.join("front.toml"), folder.join("operator.toml"));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    std::fs::write(&front, include_str!("scenario/opensearch.toml")).expect("written");
+    let records = folder.join("kept");
+    std::fs::write(&operator, format!("[records]\nfolder = {records:?}\n")).expect("written");
+    let text = |path: &std::path::Path| path.to_str().expect("text").to_owned();
+    let (front, operator, records) = (text(&front), text(&operator), text(&records));
+    let serve = || {
+        start(Command::new(env!("CARGO_BIN_EXE_clayshore")).args(["serve", &front, "--operator", &operator]))
+    };
+    let ask = |address: &str, times: usize| {
+        let mut client = TcpStream::connect(address).expect("connected");
+        for _ in 0..times {
+            let head =
+                "POST /envelopes/_search HTTP/1.1\r\nX-Opaque-Id: portal\r\nContent-Length: 2\r\n\r\n{}";
+            client.write_all(head.as_bytes()).expect("written");
+            assert_eq!(response(&mut client).status, 429, "no server can be reached");
+        }
+    };
+    let lines = || {
+        std::fs::read_dir(&records).map_or(0, |found| {
+            found
+                .map(|file| {
+                    std::fs::read_to_string(file.expect("a file").path()).expect("text").lines().count()
+                })
+                .sum()
+        })
+    };
+    let (mut killed, address, log) = serve();
+    ask(&address, 3);
+    // The start, the list and its worker, and the first line of figures.
+    while lines() < 4 {
+        thread::yield_now();
+    }
+    killed.kill().expect("killed");
+    killed.wait().expect("it ends");
+    drop(log);
+    let (child, address, log) = serve();
+    ask(&address, 2);
+    stop(child, log);
+    let (status, said) = told(&["records", "verify", &records]);
+    assert_eq!(status, Some(0), "{said}");
+    let (_, json) = told(&["report", "--json", &records]);
+    let report: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+    let counts = &report["classes"]["search"];
+    assert_eq!((&counts["asked"], &counts["refused"], &counts["unknown"]), (&5.into(), &5.into(), &0.into()));
+    let found: Vec<_> = report["findings"].as_array().expect("findings").iter().map(|f| &f["what"]).collect();
+    assert_eq!(found, ["worker_loses", "death"], "{json}");
+    let page = text(&folder.join("page.html"));
+    assert_eq!(told(&["report", &records, "--out", &page]).0, Some(0));
+    let page = std::fs::read_to_string(page).expect("a page");
+    assert!(page.contains("died") && !page.contains("http://") && !page.contains("<script"));
+    // One changed byte is told of by file and line, and no longer counts.
+    let file = std::fs::read_dir(&records).expect("a folder").next().expect("one").expect("one").path();
+    let mut bytes = std::fs::read(&file).expect("read");
+    bytes[20] ^= 1;
+    std::fs::write(&file, bytes).expect("written");
+    let (status, said) = told(&["records", "verify", &records]);
+    assert!(status == Some(1) && said.contains(&format!("{}:1: its checksum is", file.display())), "{said}");
+    std::fs::remove_dir_all(folder).expect("removed");
+}
+
 #[test]
 fn a_faulty_configuration_is_named_by_its_key() {
     let good: serde_json::Value = serde_json::from_str(include_str!("scenario/platform.json")).expect("JSON");
@@ -184,6 +256,19 @@
         let error = bad.expect_err(key);
         assert!(error.contains(key), "{key}: {error}");
     }
+    let operator = include_str!("../deploy/operator.toml");
+    let parse = clayshore::program::operator::Operator::parse;
+    assert!(parse(operator).is_ok_and(|operator| operator.records.is_some()));
+    let cases = [
+        ("segment_kb = 1", "line 11: records.segment_kb: 64 kB"),
+        ("segment_s = 0", "line 11: records.segment_s: 1 second"),
+        ("all_kb = 5000", "line 11: records.all_kb: two segments"),
+        ("segment_mb = 3", "unknown field `segment_mb`"),
+    ];
+    for (line, message) in cases {
+        let error = parse(&format!("{operator}{line}\n")).expect_err(line);
+        assert!(error.contains(message), "{line}: {error}");
+    }
     let shipped =
         clayshore::program::opensearch_file::FrontFile::parse(include_str!("../deploy/opensearch.toml"), 1);
     assert!(shipped.is_ok(), "{shipped:?}");
--- /dev/null
+++ b/tests/workers.rs
@@ -0,0 +1,154 @@
+//! The servers' side on a small budget of descriptors: wide queries, and idle connections that give way.
+
+use bytes::{Buf, BytesMut};
+use clayshore::api::*;
+use clayshore::limits::{Plan, Side};
+use clayshore::program::config::Config;
+use clayshore::routing::{Ask, AskPart, Broker, Clock, Core, Verdict};
+use clayshore::transport::places::{Place, Places};
+use clayshore::transport::stream::{Dial, Dialling, Stream};
+use clayshore::transport::workers::Workers;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::task::{LocalSet, spawn_local};
+
+/// Shards of the stand-in layout, each held by both workers.
+const SHARDS: u32 = 64;
+
+/// Connections to workers that serve every part after this time.
+struct Answering(Duration);
+
+impl Dial for Answering {
+    fn dial<'a>(&'a self, _address: &'a str) -> Dialling<'a> {
+        Box::pin(async move {
+            // A new connection costs a moment.
+            tokio::time::sleep(Duration::from_millis(2)).await;
+            let (near, far) = tokio::io::duplex(1 << 16);
+            spawn_local(worker(far, self.0));
+            Ok(Box::new(near) as Box<dyn Stream>)
+        })
+    }
+}
+
+async fn worker(mut stream: DuplexStream, time: Duration) {
+    let mut buffer = BytesMut::new();
+    while matches!(stream.read_buf(&mut buffer).await, Ok(1..)) {
+        while let Some(length) = buffer.first_chunk::<4>().map(|four| u32::from_le_bytes(*four) as usize) {
+            if buffer.len() < 4 + length {
+                break;
+            }
+            buffer.advance(4);
+            let text = String::from_utf8(buffer.split_to(length).to_vec()).expect("text");
+            if let Some(rest) = text.strip_prefix('m') {
+                tokio::time::sleep(time).await;
+                let answer = format!("q{} good 5 -\nvalue", rest.split(' ').next().expect("an id"));
+                let mut bytes = (answer.len() as u32).to_le_bytes().to_vec();
+                bytes.extend(answer.bytes());
+                if stream.write_all(&bytes).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn run<F: Future<Output = ()>>(time: u64, main: impl FnOnce(Broker, Rc<Places>) -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let mut json: serde_json::Value =
+            serde_json::from_str(include_str!("scenario/platform.json")).expect("JSON");
+        json["settings"]["domain"]["slices"] = SHARDS.into();
+        json["settings"]["allowed"]["max-open"] = 1000.into();
+        let config = Config::from_json(&json, |_| None).expect("a configuration");
+        let places = Places::new(Plan::new(64, 16).expect("enough"), 1 << 20);
+        let broker = Broker::new(Core::new(config.contracts), Clock::at(Time(1 << 60)));
+        broker.learn(&config.known.expect("a list"), true);
+        let dial = Rc::new(Answering(Duration::from_millis(time)));
+        let workers = Workers::new(broker.clone(), dial, places.clone());
+        spawn_local(workers.clone().give_way());
+        let driver = broker.clone();
+        spawn_local(async move { driver.drive(&workers).await });
+        main(broker, places).await;
+    });
+}
+
+fn ask(label: &str, class: &str, shards: u32, broker: &Broker) -> Ask {
+    let class = broker.core(|core| core.contracts().class(class).expect("a class").0);
+    let part = |shard| AskPart {
+        shard: ShardId(shard),
+        weight: 1.0 / f64::from(shards),
+        hint: Some(Duration::from_millis(1)),
+        key: None,
+    };
+    Ask {
+        label: label.into(),
+        class,
+        tenant: None,
+        left: Duration::from_secs(5),
+        retry: false,
+        text: "c41e".into(),
+        parts: (0..shards).map(part).collect(),
+    }
+}
+
+#[test]
+fn a_query_wider_than_the_budget_waits_its_turn_and_is_served_whole() {
+    // Every part runs once and wants a connection of its own: 64 of them, where 48 descriptors are to be had in all.
+    run(20, |broker, places| async move {
+        let floor = places.descriptors(|all| all.plan().floors[Side::Clients as usize]);
+        let clients: Vec<Place> =
+            (0..floor).map(|_| places.try_take(Side::Clients).expect("its floor")).collect();
+        assert!(clients.iter().all(Place::pin));
+        let verdict = broker.ask(ask("wide", "seal", SHARDS, &broker)).await;
+        let Verdict::Answered { whole: true, values } = verdict else {
+            panic!("{verdict:?} {} {}", broker.core(|core| core.counters.clone()), places.tally.borrow())
+        };
+        assert_eq!(values.len(), SHARDS as usize);
+        let tally = places.tally.borrow().clone();
+        assert_eq!((tally.opened, tally.not_opened), (u64::from(SHARDS), 0), "{tally}");
+        assert_eq!(broker.core(|core| core.counters.sent), u64::from(SHARDS), "nothing is sent twice");
+        let (usable, floors) = places.descriptors(|all| (all.plan().usable, all.plan().floors));
+        let most = usable - floor - floors[Side::Discovery as usize] - floors[Side::Files as usize];
+        assert!(tally.most_held[Side::Workers as usize] <= most, "{tally}");
+    });
+}
+
+#[test]
+fn where_no_connection_can_be_had_nothing_counts_as_run() {
+    // All that may be firm is: the query waits, is turned out, and is refused rather than failed.
+    run(20, |broker, places| async move {
+        let mut held = Vec::new();
+        while places.descriptors(|all| all.may_pin(Side::Workers)) {
+            held.push(places.try_take(Side::Workers).expect("free"));
+            assert!(held.last().is_some_and(Place::pin));
+        }
+        let verdict = broker.ask(ask("none", "seal", 2, &broker)).await;
+        assert!(matches!(verdict, Verdict::Refused { .. }), "{verdict:?}");
+        let counted = broker.core(|core| core.counters.clone());
+        assert!(counted.ended_skipped > 0 && counted.ended_refused == 0, "{counted}");
+        assert!(places.tally.borrow().not_opened > 0);
+    });
+}
+
+#[test]
+fn idle_connections_to_workers_give_way_to_clients_and_come_back() {
+    run(1, |broker, places| async move {
+        let served = |verdict| matches!(verdict, Verdict::Answered { whole: true, .. });
+        assert!(served(broker.ask(ask("a", "search", 8, &broker)).await));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let idle = places.descriptors(|all| (all.held(Side::Workers), all.firm(Side::Workers)));
+        assert!(idle.0 > 0 && idle.1 == 0, "{idle:?}");
+        // Guards against loans that are never given back: clients take everything that their side may have.
+        let mut clients = Vec::new();
+        while places.descriptors(|all| all.may_pin(Side::Clients)) {
+            clients.push(places.take(Side::Clients).await);
+            assert!(clients.last().is_some_and(Place::pin));
+        }
+        let (usable, floors) = places.descriptors(|all| (all.plan().usable, all.plan().floors));
+        assert_eq!(clients.len(), usable - floors[1] - floors[2] - floors[3]);
+        // And the workers' floor is there for the next query.
+        assert!(served(broker.ask(ask("b", "search", 8, &broker)).await));
+        assert!(places.tally.borrow().most_in_all <= usable);
+    });
+}
