Keep what runs once from replicas that lose its class, and refuse it where all do

A probe of every time-out: all 94 are seal-record, at 8 of 12 workers from one moment on for 9 s, and in bursts of five to six within 0.12 s at workers that had lost as many 3 and 5 s before.

Checked and ruled out: the limits of connections (65 descriptors, nothing waited or was turned out), a late detection alone (the bursts repeat at workers already judged), resets (12 a second, each one strike).

At fault: rules.rs choose drops suspects while a trusted replica is left, and counted a replica that loses the class as trusted; the other replica, suspect for broken connections, was left out, and the part that runs once went where it was lost. Now such a replica is not trusted with what runs once from a share lost of 0.15 on, and gets none from 0.5 on: the query is refused at once, with nothing run, where no other is left.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,7 +5,7 @@
 //! refusal, attempts, health, ending a query. `README.md` tells how the module sits in the program.
 
 use crate::api::*;
-use crate::state::{Attempt, Leaf, Part, Query};
+use crate::state::{Attempt, Leaf, Part, Query, seconds};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -59,8 +59,7 @@
 const OVER_SHARE_EDGE: f64 = 0.5;
 /// Suspects tried in a turn: each may cost a query a copy.
 const TRIALS: usize = 2;
-/// Weight of one attempt in the share that a leaf loses, so that one loss alone counts for nothing, and the
-/// seconds in which it fades: a path mends in tens of seconds, and a leaf that is left alone cannot show it.
+/// Weight of one attempt in the share that a leaf loses, and the seconds in which that fades as a path mends.
 const LOSS_GAIN: f64 = 0.3;
 const LOSS_SPAN: f64 = 10.0;
 /// Later attempts answered by the same leaf from which an overdue one is in no queue: one proves nothing.
@@ -80,6 +79,8 @@
 const PROBE_POINTS: f64 = 0.003;
 /// Shortest and longest time between probes of one leaf.
 const PROBE_PERIOD: (f64, f64) = (0.5, 30.0);
+/// Share lost from which a leaf gets none of what runs once while others do, and from which none at all.
+const LOSES: (f64, f64) = (0.15, 0.5);
 /// Slack in sums of weights, as the sums are rounded.
 const EPSILON: f64 = 1e-5;
 
@@ -195,10 +196,6 @@
     phase: f64,
 }
 
-fn seconds(span: Duration) -> f64 {
-    span.as_secs_f64()
-}
-
 fn span(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds.clamp(0.0, 3600.0))
 }
@@ -414,16 +411,18 @@
         let row = self.shards.get(&part.asked.shard)?;
         let mut open: Vec<(LeafId, f64, &Leaf)> =
             row.iter().filter_map(|(id, m)| Some((*id, *m, self.leaves.get(id)?))).collect();
-        // Health filters only while a trusted replica is left: a root never shuts a whole shard out.
-        // What may not be sent again goes to no suspect on trial.
+        // Health filters only while a trusted replica is left; what runs once goes to none on trial.
         let once = self.class(part.class).is_none_or(|class| class.effect != Effect::Repeatable);
         let aim_at = self.queries.get(&part.query).map_or(self.now, |query| query.aim_at);
         let trial = |leaf: &Leaf| !once && leaf.out.is_empty() && leaf.answers_probes && self.trials < TRIALS;
-        let trusted = |leaf: &Leaf| leaf.suspect.is_none_or(|(next, _)| next <= self.now && trial(leaf));
+        // Guards what runs once against leaves that lose its class: refused it is harmless, lost it is not.
+        let loses = |leaf: &Leaf, share: f64| once && leaf.loss(self.now, part.class) > share;
+        let sound = |leaf: &Leaf| leaf.suspect.is_none_or(|(next, _)| next <= self.now && trial(leaf));
+        let trusted = |leaf: &Leaf| sound(leaf) && !loses(leaf, LOSES.0);
         if open.iter().any(|(_, _, leaf)| trusted(leaf)) {
             open.retain(|(_, _, leaf)| trusted(leaf));
         }
-        open.retain(|(_, _, leaf)| self.guard(part, leaf));
+        open.retain(|(_, _, leaf)| self.guard(part, leaf) && !loses(leaf, LOSES.1));
         let fresh = |id: LeafId| part.attempts.iter().all(|attempt| attempt.leaf != id);
         if open.iter().any(|(id, _, _)| fresh(*id)) {
             open.retain(|(id, _, _)| fresh(*id));
--- a/src/state.rs
+++ b/src/state.rs
@@ -88,3 +88,8 @@
     /// For a query in its second step: whether the first was whole.
     pub first_step: Option<bool>,
 }
+
+/// A span as a number of seconds.
+pub fn seconds(span: Duration) -> f64 {
+    span.as_secs_f64()
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -534,6 +534,52 @@
     assert_eq!(once(&mut root).leaf, LeafId(2), "what it loses does not");
 }
 
+#[test]
+fn what_runs_once_is_refused_where_every_replica_loses_its_class() {
+    // Eight of twelve leaves lost the class that runs once: while its other replica was suspect, parts that run once
+    // went to one that had lost six before them.
+    let classes = vec![class(Effect::Repeatable), class(Effect::Once)];
+    let settings = Settings { classes, may_probe: false, longest_pause: Some(ms(500)), ..settings() };
+    let mut root = Root::new(settings, &[1]);
+    let once = |root: &mut Root| {
+        let (query, _, mut events) = root.query(None, &[0]);
+        if let Some(Event::Query(asked)) = events.first_mut() {
+            asked.class = ClassId(1);
+        }
+        let before = root.sent.len();
+        root.turn(events);
+        (query, root.sent.len() > before)
+    };
+    let mut lost = Vec::new();
+    for _ in 0..4 {
+        assert!(once(&mut root).1);
+        lost.push(root.last());
+    }
+    for _ in 0..10 {
+        root.ask(None, &[0]);
+        root.pass(100);
+        root.turn(vec![root.end(root.last(), Outcome::Done, Some(0.3))]);
+    }
+    let (query, sent) = once(&mut root);
+    assert!(!sent, "it would be lost");
+    let refused = |action: &Action| matches!(action, Action::Refuse { id, .. } if *id == query);
+    assert!(root.actions.iter().any(refused), "and refused at once, while nothing of it has run");
+    root.ask(None, &[0]);
+    assert_eq!(root.last().leaf, LeafId(1), "what may be repeated is served");
+    // Another replica that is suspect for broken connections is better than one that loses the class.
+    root.turn(vec![Event::Membership(Membership::Full(list(&[1, 2])))]);
+    let to_two = loop {
+        root.ask(None, &[0]);
+        if root.last().leaf == LeafId(2) {
+            break root.last();
+        }
+        root.turn(vec![root.end(root.last(), Outcome::Done, Some(0.3))]);
+    };
+    root.turn(vec![root.end(to_two, Outcome::Refused, None)]);
+    assert!(once(&mut root).1);
+    assert_eq!(root.last().leaf, LeafId(2));
+}
+
 #[test]
 fn one_connection_that_broke_does_not_bar_its_leaf() {
     // Where connections break now and then, most leaves were suspect at any time, and the worst were left to choose.
