An incident on loopback: a gatherer killed while the fleet is slow is found and counted

Need: the hard case of the records, a death in the middle of a slowdown of the whole fleet, was not caused by any test.

Change: three gatherers, scripted workers and clients; all workers slow at once, one gatherer killed with a query open that is on record as taken, and started again. Findings that the test showed split: steps in which too little was sent to tell parted one slowdown into two; they no longer do.

--- a/src/records/diagnosis.rs
+++ b/src/records/diagnosis.rs
@@ -184,14 +184,21 @@
     (attempts.done() >= LEAST_SEEN).then(|| attempts.done_us as f64 / attempts.done() as f64)
 }
 
-/// Steps in a row become one span.
+/// Steps in a row become one span; steps in which too little was sent to tell do not part them.
 fn spans(summary: &Summary, steps: &BTreeSet<u64>) -> Vec<(u64, u64)> {
     let mut spans: Vec<(u64, u64)> = Vec::new();
-    for begin in steps {
-        match spans.last_mut() {
-            Some(span) if span.1 == *begin => span.1 += summary.step_ms(),
-            _ => spans.push((*begin, begin + summary.step_ms())),
+    let mut goes_on = false;
+    for (begin, step) in &summary.steps {
+        if !steps.contains(begin) {
+            goes_on &= step.attempts.values().all(|attempts| attempts.all() < LEAST_SEEN);
+            continue;
+        }
+        let to = begin + summary.step_ms();
+        match spans.last_mut().filter(|_| goes_on) {
+            Some(span) => span.1 = to,
+            None => spans.push((*begin, to)),
         }
+        goes_on = true;
     }
     spans
 }
--- /dev/null
+++ b/tests/incident.rs
@@ -0,0 +1,200 @@
+//! An incident on loopback: three gatherers with scripted workers and clients, all slow at once, one killed meanwhile.
+//! The report finds these two things and no others, and counts what the clients counted.
+
+use bytes::BytesMut;
+use clayshore::protocol::http;
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_clayshore");
+/// What workers take for a part on a good day, when all of them are slow, and where nobody is to be answered.
+const CALM: u64 = 4;
+const SLOW: u64 = 30;
+const STUCK: u64 = 2000;
+
+/// A worker that answers every part after as many milliseconds as are set.
+fn worker(delay: Arc<AtomicU64>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, delay) = (stream.expect("a connection"), delay.clone());
+            thread::spawn(move || {
+                let mut length = [0; 4];
+                while stream.read_exact(&mut length).is_ok() {
+                    let mut rest = vec![0; u32::from_le_bytes(length) as usize];
+                    if stream.read_exact(&mut rest).is_err() {
+                        return;
+                    }
+                    let text = String::from_utf8(rest).expect("text");
+                    let Some(call) = text.strip_prefix('m') else { continue };
+                    let id = call.split(' ').next().expect("an id");
+                    let answer = format!("q{id} good 5 busy=0.2,q=0\n5be2");
+                    thread::sleep(Duration::from_millis(delay.load(Ordering::Relaxed)));
+                    let bytes = [&(answer.len() as u32).to_le_bytes()[..], answer.as_bytes()].concat();
+                    if stream.write_all(&bytes).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+struct Gatherer {
+    child: Child,
+    address: String,
+    log: BufReader<std::process::ChildStderr>,
+}
+
+impl Gatherer {
+    fn start(folder: &Path, name: &str, workers: &[String]) -> Gatherer {
+        let mut config: Value = serde_json::from_str(include_str!("scenario/platform.json")).expect("JSON");
+        let member = |(at, address): (usize, &String)| json!({"id": format!("w{at}"), "host_port": address, "cell": 0, "phase": "SERVING"});
+        let members: Vec<Value> = workers.iter().enumerate().map(member).collect();
+        config["name"] = name.into();
+        config["known"] = json!({"revision": 1, "complete": true, "members": members});
+        config["settings"]["allowed"]["max-open"] = 200.into();
+        let path = folder.join(format!("{name}.json"));
+        std::fs::write(&path, config.to_string()).expect("written");
+        let mut command = Command::new(PROGRAM);
+        command.args(["serve", "--operator"]).arg(folder.join("operator.toml"));
+        command.env_clear().env("LB_CONFIG", &path).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the program starts");
+        let mut log = BufReader::new(child.stderr.take().expect("piped"));
+        let mut lines = log.by_ref().lines().map(|line| line.expect("a line"));
+        let address = lines.find_map(|line| line.split_once(" serving on ").map(|found| found.1.to_owned()));
+        Gatherer { child, address: address.expect("it serves"), log }
+    }
+    fn stop(mut self) {
+        let kill = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(kill.expect("kill runs").success());
+        let mut rest = String::new();
+        self.log.read_to_string(&mut rest).expect("the rest of the log");
+        assert!(self.child.wait().expect("it ends").success(), "{rest}");
+    }
+}
+
+fn request(id: &str) -> Vec<u8> {
+    let part = |shard: u32| format!(r#"{{"range":{shard},"portion":0.25}}"#);
+    let parts: Vec<String> = (0..4).map(part).collect();
+    let body = format!(r#"{{"ranges":[{}],"predicate":"c41e"}}"#, parts.join(","));
+    let head = format!("POST /api HTTP/1.1\r\nX-Call-Id: {id}\r\nX-Call-Class: search\r\nX-Caller: bank\r\n");
+    format!("{head}X-Budget-Ms: 5000\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+/// Asks so many queries, one after the other; all of them are served.
+fn ask(address: &str, name: &str, count: usize) {
+    let mut stream = TcpStream::connect(address).expect("connected");
+    let mut buffer = BytesMut::new();
+    for number in 0..count {
+        stream.write_all(&request(&format!("{name}-{number}"))).expect("written");
+        let response = loop {
+            if let Some(response) = http::take_response(&mut buffer, http::MOST_BODY).expect("a response") {
+                break response;
+            }
+            let mut bytes = [0; 4096];
+            let read = stream.read(&mut bytes).expect("readable");
+            assert!(read > 0, "the connection ended");
+            buffer.extend_from_slice(&bytes[..read]);
+        };
+        assert_eq!(response.status, 200);
+    }
+}
+
+/// So many queries at each of these gatherers, side by side.
+fn rush(gatherers: &[&Gatherer], phase: &str, count: usize) {
+    thread::scope(|scope| {
+        for gatherer in gatherers {
+            scope.spawn(move || ask(&gatherer.address, phase, count));
+        }
+    });
+}
+
+fn report(records: &Path) -> Value {
+    let run = Command::new(PROGRAM).args(["report", "--json", "--step", "1"]).arg(records).output();
+    let run = run.expect("it runs");
+    assert!(run.status.success(), "{}", String::from_utf8_lossy(&run.stderr));
+    serde_json::from_slice(&run.stdout).expect("JSON")
+}
+
+/// Waits until so many queries are on record.
+fn on_record(records: &Path, asked: usize) -> Value {
+    loop {
+        let report = report(records);
+        let found = report["classes"]["search"]["asked"].as_u64().unwrap_or(0) as usize;
+        assert!(found <= asked, "{found} on record, of {asked}");
+        if found == asked {
+            return report;
+        }
+    }
+}
+
+#[test]
+fn a_death_in_the_middle_of_a_slowdown_of_the_fleet() {
+    let folder: PathBuf = std::env::temp_dir().join(format!("clayshore-incident-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let records = folder.join("records");
+    std::fs::write(folder.join("operator.toml"), format!("[records]\nfolder = {records:?}\n"))
+        .expect("written");
+    let delay = Arc::new(AtomicU64::new(CALM));
+    let workers: Vec<String> = (0..3).map(|_| worker(delay.clone())).collect();
+    let [g0, mut g1, g2] = ["g0", "g1", "g2"].map(|name| Gatherer::start(&folder, name, &workers));
+    rush(&[&g0, &g1, &g2], "calm", 150);
+    delay.store(SLOW, Ordering::Relaxed);
+    rush(&[&g0, &g1, &g2], "slow", 30);
+    on_record(&records, 3 * 180);
+    // One more is taken by the one that dies, and is on record as taken by then.
+    delay.store(STUCK, Ordering::Relaxed);
+    let mut lost = TcpStream::connect(&g1.address).expect("connected");
+    lost.write_all(&request("lost")).expect("written");
+    on_record(&records, 3 * 180 + 1);
+    g1.child.kill().expect("killed");
+    g1.child.wait().expect("it ends");
+    assert!(!matches!(lost.read(&mut [0; 64]), Ok(1..)), "nobody answers it");
+    delay.store(SLOW, Ordering::Relaxed);
+    rush(&[&g0, &g2], "still", 30);
+    delay.store(CALM, Ordering::Relaxed);
+    let g1 = Gatherer::start(&folder, "g1", &workers);
+    rush(&[&g0, &g1, &g2], "after", 100);
+    [g0, g1, g2].into_iter().for_each(Gatherer::stop);
+
+    let asked = 3 * 180 + 1 + 2 * 30 + 3 * 100;
+    let report = on_record(&records, asked);
+    let counts = &report["classes"]["search"];
+    let figure = |name: &str| counts[name].as_u64().expect("a figure") as usize;
+    assert_eq!((figure("whole_in_time"), figure("unknown")), (asked - 1, 1), "{counts}");
+    assert_eq!(["whole_late", "partial", "refused", "failed", "left"].map(figure), [0; 5], "{counts}");
+    // Step by step it is the same.
+    let of_step = |step: &Value| {
+        step["classes"]["search"].as_object().map_or(0, |tenants| {
+            tenants.values().map(|counts| counts["asked"].as_u64().expect("a figure")).sum::<u64>()
+        })
+    };
+    let steps = report["steps"].as_array().expect("steps");
+    assert_eq!(steps.iter().map(of_step).sum::<u64>() as usize, asked);
+    let findings = report["findings"].as_array().expect("findings");
+    let mut found: Vec<&str> =
+        findings.iter().map(|finding| finding["what"].as_str().expect("text")).collect();
+    found.sort_unstable();
+    assert_eq!(found, ["death", "fleet_slow"], "{findings:#?}");
+    let death = findings.iter().find(|finding| finding["what"] == "death").expect("it was found");
+    assert!(death["gatherer"] == "g1" && death["certainty"] == "certain", "{death}");
+    assert!(death["evidence"].as_str().expect("text").contains("1 search"), "{death}");
+    let starts = report["starts"].as_array().expect("starts");
+    assert_eq!((starts.len(), report["lines"]["damaged"].as_u64()), (4, Some(0)));
+    if let Ok(page) = std::env::var("CLAYSHORE_KEEP_PAGE") {
+        let run =
+            Command::new(PROGRAM).args(["report", "--step", "1", "--out", &page]).arg(&records).status();
+        assert!(run.expect("it runs").success());
+    }
+    std::fs::remove_dir_all(folder).expect("removed");
+}
