Let the incident's slowdown stand out of the noise of a busy machine

Need: the stand-in workers answered within the time that delayed acknowledgements take, so that a busy machine could have looked like a slowdown.

Change: they send without delay, and take 8 ms when calm and 40 ms when slow.

--- a/tests/incident.rs
+++ b/tests/incident.rs
@@ -15,8 +15,8 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_clayshore");
 /// What workers take for a part on a good day, when all of them are slow, and where nobody is to be answered.
-const CALM: u64 = 4;
-const SLOW: u64 = 30;
+const CALM: u64 = 8;
+const SLOW: u64 = 40;
 const STUCK: u64 = 2000;
 
 /// A worker that answers every part after as many milliseconds as are set.
@@ -26,6 +26,7 @@
     thread::spawn(move || {
         for stream in listener.incoming() {
             let (mut stream, delay) = (stream.expect("a connection"), delay.clone());
+            stream.set_nodelay(true).expect("set");
             thread::spawn(move || {
                 let mut length = [0; 4];
                 while stream.read_exact(&mut length).is_ok() {
