Test the process's own descriptor limit, and half requests against a small memory

Need: the budget's check against the system's limit, and the bound on buffered bytes, were tested as decisions only.

Change: a real child under 'ulimit -n' (100: it serves within it; 40: it says how many are needed and ends), and 40 clients that each send 60 kB of a request without its end against 400 kB, beside a usual client.

--- a/tests/listener.rs
+++ b/tests/listener.rs
@@ -65,9 +65,12 @@
 
 impl House {
     async fn open(descriptors: usize, failures: u32) -> House {
+        House::with_memory(descriptors, failures, 4 << 20).await
+    }
+    async fn with_memory(descriptors: usize, failures: u32, bytes: usize) -> House {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let places = Places::new(Plan::new(descriptors, 16).expect("enough"), 4 << 20);
+        let places = Places::new(Plan::new(descriptors, 16).expect("enough"), bytes);
         let (gate, held) = (Gate::new(places), Rc::new(Semaphore::new(0)));
         let front = Rc::new(Echo(held.clone()));
         let accepting = if failures > 0 {
@@ -258,6 +261,39 @@
     });
 }
 
+#[test]
+fn half_requests_together_buffer_no_more_than_there_is() {
+    // Guards the memory against many clients that each send the most that one may, and never the end.
+    run(async {
+        let house = House::with_memory(96, 0, 400 << 10).await;
+        let mut halves = Vec::new();
+        for _ in 0..40 {
+            let mut half = house.client().await;
+            let body = vec![b'x'; 60_000];
+            halves.push(spawn_local(async move {
+                half.write_all(b"POST /half HTTP/1.1\r\nContent-Length: 60001\r\n\r\n").await?;
+                half.write_all(&body).await?;
+                let mut text = String::new();
+                half.read_to_string(&mut text).await.map(|_| text)
+            }));
+        }
+        let mut kept = None;
+        for _ in 0..50 {
+            assert!(usual(house.address, &mut kept).await.starts_with("HTTP/1.1 200 OK\r\n"));
+            tokio::task::yield_now().await;
+        }
+        let mut told = 0;
+        for half in halves {
+            // It may be reset while it still sends; whoever is told is told why.
+            if let Ok(text) = half.await.expect("its task ends") {
+                told += usize::from(text.starts_with("HTTP/1.1 408 "));
+            }
+        }
+        let most = house.gate.places().tally.borrow().most_bytes;
+        assert!(told > 0 && most > 100 << 10 && most <= 400 << 10, "{told} told, {most} bytes");
+    });
+}
+
 #[test]
 fn half_a_request_holds_a_place_only_as_long_as_nobody_needs_it() {
     run(async {
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -152,6 +152,31 @@
     std::fs::remove_file(path).expect("removed");
 }
 
+#[test]
+fn the_process_s_own_limit_of_descriptors_holds_where_it_is_lower() {
+    // Guards against a budget of descriptors that the system does not give: accepting would fail under a crowd.
+    let path = std::env::temp_dir().join(format!("clayshore-limit-{}.toml", std::process::id()));
+    std::fs::write(&path, include_str!("scenario/opensearch.toml")).expect("written");
+    let limited = |most: u32| {
+        let mut shell = Command::new("sh");
+        let line = format!("ulimit -n {most}; exec {} {}", env!("CARGO_BIN_EXE_clayshore"), path.display());
+        shell.args(["-c", &line]).stderr(Stdio::piped());
+        let mut child = shell.spawn().expect("the shell starts");
+        let mut log = BufReader::new(child.stderr.take().expect("piped"));
+        let mut said = String::new();
+        while !said.contains(" serving on ") && log.read_line(&mut said).expect("a line") > 0 {}
+        (child, log, said)
+    };
+    let (child, log, said) = limited(100);
+    assert!(said.contains("of 1024 descriptors configured the system allows 100"), "{said}");
+    assert!(said.contains("100 descriptors, ") && said.contains(" serving on "), "{said}");
+    stop(child, log);
+    let (mut child, _, said) = limited(40);
+    assert!(said.contains("40 descriptors, of which ") && said.contains("64 at least are needed"), "{said}");
+    assert_eq!(child.wait().expect("it ends").code(), Some(1));
+    std::fs::remove_file(path).expect("removed");
+}
+
 /// Runs the program to its end: its status, and what it printed.
 fn told(arguments: &[&str]) -> (Option<i32>, String) {
     let run = Command::new(env!("CARGO_BIN_EXE_clayshore")).args(arguments).output().expect("it runs");
