Give a connection its idle limit also after an answer that took long

Seen on reading the change again: Gate::tend slept until a connection came in when none was loose. One whose query was open at that moment became idle unnoticed, and kept its place until somebody else came. A scenario showed it: a client that had its answer 200 ms after its request was not closed within 30 s.

The last, partial second of figures no longer tells of an overload period, which began anew with each stop under load.

--- a/src/program/recording.rs
+++ b/src/program/recording.rs
@@ -56,12 +56,12 @@
         let mut overload = Overload::default();
         loop {
             tokio::time::sleep(EACH).await;
-            self.take(&broker, &gate, &mut overload);
+            self.take(&broker, &gate, Some(&mut overload));
         }
     }
 
     /// Records what has happened since the last time.
-    fn take(&self, broker: &Broker, gate: &Gate, overload: &mut Overload) {
+    fn take(&self, broker: &Broker, gate: &Gate, overload: Option<&mut Overload>) {
         let taken = broker.core(|core| {
             let second = core.figures.as_mut().map(|figures| figures.take())?;
             Some((std::mem::take(&mut core.news), second, core.open()))
@@ -72,7 +72,7 @@
         (second.descriptors, second.clients) =
             gate.places().descriptors(|all| (all.plan().usable - all.free(), all.held(Side::Clients)));
         second.buffered = gate.places().buffered();
-        if let Some(begins) = overload.second(&second) {
+        if let Some(begins) = overload.and_then(|overload| overload.second(&second)) {
             self.record(Body::Overload { begins });
         }
         self.record(Body::Figures(second));
@@ -80,7 +80,8 @@
 
     /// Records the rest, and the stop. `answered` is whether all that was taken has been.
     pub fn end(self, broker: &Broker, gate: &Gate, answered: bool) {
-        self.take(broker, gate, &mut Overload::default());
+        // What is left of a second is too short to tell a period by.
+        self.take(broker, gate, None);
         // Guards against a stop that hides what the process took down: without the line, the rest shows as unknown.
         if answered {
             self.record(Body::Stop);
--- a/src/transport/gate.rs
+++ b/src/transport/gate.rs
@@ -31,7 +31,8 @@
     places: Rc<Places>,
     crowd: RefCell<Crowd>,
     signals: RefCell<HashMap<u64, Rc<Signal>>>,
-    entered: Notify,
+    /// A connection has become one that may be made to leave.
+    loosened: Notify,
     phase: watch::Sender<Phase>,
 }
 
@@ -48,7 +49,7 @@
             places,
             crowd: RefCell::default(),
             signals: RefCell::default(),
-            entered: Notify::new(),
+            loosened: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
         })
     }
@@ -101,7 +102,7 @@
         let signal = Rc::new(Signal::default());
         self.signals.borrow_mut().insert(id, signal.clone());
         self.places.tally.borrow_mut().admitted += 1;
-        self.entered.notify_one();
+        self.loosened.notify_one();
         let bytes = Buffered::new(&self.places);
         let pass = Pass { gate: self.clone(), id, place, signal, bytes };
         // The next one who comes is to find a place free. It is made only now, so that it costs nobody theirs before
@@ -147,7 +148,7 @@
         loop {
             if !self.crowd.borrow().has_loose() {
                 tokio::select! {
-                    () = self.entered.notified() => {}
+                    () = self.loosened.notified() => {}
                     () = self.places.recalled(Side::Clients) => continue,
                 }
             }
@@ -232,6 +233,7 @@
     pub fn answered(&self, record: Record) {
         self.place.unpin();
         self.crowd(|crowd| crowd.answered(self.gate.places.now(), self.id, record));
+        self.gate.loosened.notify_one();
     }
     /// What it sent was no request.
     pub fn spoke_rubbish(&self) {
