--- /dev/null
+++ b/src/estimates.rs
@@ -0,0 +1,52 @@
+//! Estimators of the decision module: what is learned from few samples, and how it fades. Nothing here chooses.
+
+use crate::api::Time;
+use crate::state::seconds;
+
+/// Weight of a new sample in running means: about the last twenty count.
+pub const GAIN: f64 = 0.05;
+/// Weight of a new sample in the model of latency: about the last hundred answers count.
+pub const MODEL_GAIN: f64 = 0.01;
+/// Samples' worth of belief in the first guess at how answers slow with work owed.
+const PRIOR: f64 = 20.0;
+/// Work of a part, in seconds, before any was seen and without a hint: only ratios matter until then.
+pub const FIRST_WORK: f64 = 0.1;
+/// Seconds in which a share of lost attempts fades as a path mends.
+const LOSS_SPAN: f64 = 10.0;
+
+/// A share as it was reckoned, less what has faded since.
+pub fn faded((share, at): (f64, Time), now: Time) -> f64 {
+    share * (-seconds(now.since(at)) / LOSS_SPAN).exp()
+}
+
+/// Latency of an answer as a line in the part's own work and the work owed ahead of it, learned by decayed
+/// least squares over all leaves: a root sees only its own traffic, so the others' share shows in the slope.
+pub struct Model {
+    /// Sums of work², work x ahead, ahead², work x latency, ahead x latency.
+    sums: [f64; 5],
+    /// Mean distance of latencies from what was expected.
+    pub deviation: f64,
+}
+
+impl Default for Model {
+    fn default() -> Self {
+        let belief = PRIOR * FIRST_WORK * FIRST_WORK;
+        Model { sums: [belief, 0.0, belief, belief, belief], deviation: FIRST_WORK }
+    }
+}
+
+impl Model {
+    /// Seconds of latency for a second of own work, and for a second of work ahead.
+    pub fn line(&self) -> (f64, f64) {
+        let [ww, wb, bb, wl, bl] = self.sums;
+        let det = (ww * bb - wb * wb).max(f64::MIN_POSITIVE);
+        (((wl * bb - bl * wb) / det).clamp(0.3, 10.0), ((ww * bl - wb * wl) / det).clamp(0.1, 10.0))
+    }
+    pub fn learn(&mut self, work: f64, ahead: f64, latency: f64, expected: f64) {
+        let new = [work * work, work * ahead, ahead * ahead, work * latency, ahead * latency];
+        for (sum, new) in self.sums.iter_mut().zip(new) {
+            *sum += new - MODEL_GAIN * *sum;
+        }
+        self.deviation += GAIN * ((latency - expected).abs() - self.deviation);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 //! ```
 
 pub mod api;
+mod estimates;
 pub mod limits;
 pub mod program;
 pub mod protocol;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,6 +5,7 @@
 //! refusal, attempts, health, ending a query. `README.md` tells how the module sits in the program.
 
 use crate::api::*;
+use crate::estimates::{FIRST_WORK, GAIN, MODEL_GAIN, Model, faded};
 use crate::state::{Attempt, Leaf, Part, Query, seconds};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -23,16 +24,8 @@
 const TICK: Duration = Duration::from_millis(10);
 /// Turns' worth of absence past which this root itself stood still: ages then tell of it, not of the leaves.
 const STALL: f64 = 10.0;
-/// Weight of a new sample in running means: about the last twenty count.
-const GAIN: f64 = 0.05;
-/// Weight of a new sample in the model of latency: about the last hundred answers count.
-const MODEL_GAIN: f64 = 0.01;
 /// Deviations past the expected answer at which an attempt is overdue (as in TCP's time-out).
 const DEVIATIONS: f64 = 4.0;
-/// Samples' worth of belief in the first guess at how answers slow with work owed.
-const PRIOR: f64 = 20.0;
-/// Work of a part, in seconds, before any was seen and without a hint: only ratios matter until then.
-const FIRST_WORK: f64 = 0.1;
 /// Share of latencies that lie below the running base of a class: a part's work without waiting.
 const BASE_QUANTILE: f64 = 0.2;
 /// Failures in a row that make a leaf suspect: one may be chance.
@@ -59,9 +52,8 @@
 const OVER_SHARE_EDGE: f64 = 0.5;
 /// Suspects tried in a turn: each may cost a query a copy.
 const TRIALS: usize = 2;
-/// Weight of one attempt in the share that a leaf loses, and the seconds in which that fades as a path mends.
+/// Weight of one attempt in the share that a leaf loses.
 const LOSS_GAIN: f64 = 0.3;
-const LOSS_SPAN: f64 = 10.0;
 /// Later attempts answered by the same leaf from which an overdue one is in no queue: one proves nothing.
 const OVERTAKEN: u32 = 2;
 /// Parts of own work by which a replica may lag behind the soonest before that counts in its cost.
@@ -114,47 +106,11 @@
     }
 }
 
-fn faded((share, at): (f64, Time), now: Time) -> f64 {
-    share * (-seconds(now.since(at)) / LOSS_SPAN).exp()
-}
-
 enum Ending {
     Answer { whole: bool },
     Abandon { pause: Duration },
 }
 
-/// Latency of an answer as a line in the part's own work and the work owed ahead of it, learned by decayed
-/// least squares over all leaves: a root sees only its own traffic, so the others' share shows in the slope.
-struct Model {
-    /// Sums of work², work x ahead, ahead², work x latency, ahead x latency.
-    sums: [f64; 5],
-    /// Mean distance of latencies from what was expected.
-    deviation: f64,
-}
-
-impl Default for Model {
-    fn default() -> Self {
-        let belief = PRIOR * FIRST_WORK * FIRST_WORK;
-        Model { sums: [belief, 0.0, belief, belief, belief], deviation: FIRST_WORK }
-    }
-}
-
-impl Model {
-    /// Seconds of latency for a second of own work, and for a second of work ahead.
-    fn line(&self) -> (f64, f64) {
-        let [ww, wb, bb, wl, bl] = self.sums;
-        let det = (ww * bb - wb * wb).max(f64::MIN_POSITIVE);
-        (((wl * bb - bl * wb) / det).clamp(0.3, 10.0), ((ww * bl - wb * wl) / det).clamp(0.1, 10.0))
-    }
-    fn learn(&mut self, work: f64, ahead: f64, latency: f64, expected: f64) {
-        let new = [work * work, work * ahead, ahead * ahead, work * latency, ahead * latency];
-        for (sum, new) in self.sums.iter_mut().zip(new) {
-            *sum += new - MODEL_GAIN * *sum;
-        }
-        self.deviation += GAIN * ((latency - expected).abs() - self.deviation);
-    }
-}
-
 /// The decisions of one root. See the crate's page for how to embed it.
 #[derive(Default)]
 pub struct Aggregator {
