Prefer a silent replica to one that loses the class of what runs once

The tier of suspects that still speak took in leaves that lose a class, so that what runs once had no replica at all: found by the test of lost classes.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -367,10 +367,11 @@
         let loses = |leaf: &Leaf, share: f64| once && leaf.loss(self.now, part.class) > share;
         let sound = |leaf: &Leaf| leaf.suspect.is_none_or(|(next, _)| next <= self.now && trial(leaf));
         let trusted = |leaf: &Leaf| sound(leaf) && !loses(leaf, LOSES.0);
+        let speaks = |leaf: &Leaf| !leaf.silent && !loses(leaf, LOSES.0);
         if open.iter().any(|(_, _, leaf)| trusted(leaf)) {
             open.retain(|(_, _, leaf)| trusted(leaf));
-        } else if open.iter().any(|(_, _, leaf)| !leaf.silent) {
-            open.retain(|(_, _, leaf)| !leaf.silent);
+        } else if open.iter().any(|(_, _, leaf)| speaks(leaf)) {
+            open.retain(|(_, _, leaf)| speaks(leaf));
         }
         open.retain(|(_, _, leaf)| self.guard(part, leaf) && !loses(leaf, LOSES.1));
         let fresh = |id: LeafId| part.attempts.iter().all(|attempt| attempt.leaf != id);
@@ -770,8 +771,8 @@
         }
     }
 
-    /// Guards against learning of a lost zone one leaf after the other: where several of a zone's leaves are late
-    /// or cannot be reached, and none has answered since, all that are not known to live are suspect at once.
+    /// Guards against learning of a lost zone one leaf after the other: where several of a zone's leaves are
+    /// late or cannot be reached, and none has answered since, all of them are suspect at once.
     fn judge_zones(&mut self, actions: &mut Vec<Action>) {
         let mut zones: BTreeMap<ZoneId, (Time, Vec<Time>)> = BTreeMap::new();
         for leaf in self.leaves.values().filter(|leaf| leaf.entry.status == Status::Active) {
