Let errors bar no leaf, try the busy sooner, and let one rare answer tell more

The one good replica had 20 to 36 parts waiting and answered after 0.3 to 0.5 s, while those that err (utilization 0.3, failing in 3 ms, so nearly free to try) were barred by two errors in a row (judge_outcome), and those that turned parts away for the 5 s that the unreachable are held. A leaf's drag followed its own answers within 5 s (attempt_ended), at one answer each 1.75 s from the view of one of a hundred gatherers.

Change: an error counts as a loss and makes no suspect; who turns away is held for one second; the weight of a latency grows with the square of the time since the leaf's last answer, as before where answers are frequent, 0.7 where rare.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,6 +39,8 @@
 const LEAST_CAPACITY: f64 = 1.0;
 /// Seconds over which a leaf's own answers are averaged: load changes faster than its machine.
 const SPAN: f64 = 5.0;
+/// Seconds between a leaf's answers from which one tells as much of its drag as all before.
+const RARE: f64 = 1.2;
 /// Share of the time to the aim inside which a query must be expected where leaves are busy: guesses err, and
 /// one lost late wastes all its work. Not where a partial answer counts: a late part then costs its share.
 const ADMIT: f64 = 0.7;
@@ -669,8 +671,8 @@
             if outcome == Outcome::Done && !self.stalled {
                 let latency = seconds(end.elapsed);
                 let (own, slope) = self.model.line();
-                let gain =
-                    (1.0 - (-seconds(self.now.since(leaf.last_done)) / SPAN).exp()).clamp(2.0 * GAIN, 0.5);
+                let rare = seconds(self.now.since(leaf.last_done)) / RARE;
+                let gain = (rare * rare / (1.0 + rare * rare)).clamp(2.0 * GAIN, 0.7);
                 leaf.seen += gain * (latency - leaf.seen);
                 leaf.planned += gain * (own * work + slope * ahead - leaf.planned);
                 self.answered = self.now;
@@ -835,11 +837,14 @@
                 leaf.last_done = now;
                 leaf.trust();
             }
-            Outcome::Error | Outcome::Busy | Outcome::Refused | Outcome::Reset | Outcome::TimedOut => {
+            // It comes at once and counts as a loss: another try costs less than a replica that is full.
+            Outcome::Error => {}
+            Outcome::Busy | Outcome::Refused | Outcome::Reset | Outcome::TimedOut => {
                 leaf.strikes += 1;
                 // One connection that broke may be that alone; a process that died refuses the next.
-                if outcome == Outcome::Refused || leaf.strikes >= STRIKES {
-                    leaf.distrust(now, outcome == Outcome::Refused, hold);
+                let silent = outcome == Outcome::Refused;
+                if silent || leaf.strikes >= STRIKES {
+                    leaf.distrust(now, silent, if silent { hold } else { FIRST_HOLD });
                 }
                 self.report(id, 1.0);
             }
