--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -2,6 +2,7 @@
 //! newcomers are let in, and what waits for a connection to a server. Plain values and times go in, decisions come
 //! out: no socket, no task, no clock.
 
+pub mod backoff;
 pub mod bytes;
 pub mod crowd;
 pub mod descriptors;
@@ -10,6 +11,7 @@
 pub mod tally;
 pub mod turnstile;
 
+pub use backoff::Backoff;
 pub use bytes::Bytes;
 pub use crowd::{Crowd, Source, Why};
 pub use descriptors::{Denied, Descriptors, Plan, Side};
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -8,7 +8,7 @@
 use super::process;
 use super::recording::Recording;
 use crate::api::Settings;
-use crate::limits::Side;
+use crate::limits::{Backoff, Side};
 use crate::records::line::Body;
 use crate::routing::{Broker, Carrier, Clock, Contracts, Core};
 use crate::transport::gate::{Gate, Phase};
@@ -47,6 +47,8 @@
         let places = places(config.sockets, config.memory_mb)?;
         let digest = digest(&config.contracts);
         let clock = Clock::system();
+        let (seed, roots) = (config.contracts.settings.seed, config.contracts.settings.roots);
+        let backoff = Backoff::new(seed, roots);
         let broker = Broker::new(Core::new(config.contracts), clock);
         let start = format!("{:x}-{:x}", clock.now().0, std::process::id());
         let recording = Recording::begin(operator.records.as_ref(), &config.name, &start, &digest, &broker)?;
@@ -62,7 +64,7 @@
         let discovery = Sender::new(config.discovery);
         let address = discovery.subscribe();
         let watched = places.clone();
-        spawn_local(async move { watch::follow(&*dial, address, &watcher, &watched).await });
+        spawn_local(async move { watch::follow(&*dial, address, &watcher, &watched, backoff).await });
         spawn_local(reload(hangups, places, recording.clone(), move || {
             // Where discovery is takes effect now, all else at the next start.
             let config = read()?;
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -3,7 +3,7 @@
 use super::client;
 use super::places::Places;
 use super::stream::{Dial, dial_within};
-use crate::limits::Side;
+use crate::limits::{Backoff, Side};
 use crate::protocol::{discovery, http};
 use crate::routing::Broker;
 use bytes::BytesMut;
@@ -11,12 +11,8 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// How long a watch may wait: short, so that a connection that has gone silent is soon replaced.
-const WAIT: Duration = Duration::from_secs(5);
 /// How long past that an answer may take, and how long a connection may take to come up.
 const SLACK: Duration = Duration::from_secs(1);
-/// Pause after a failure: with it a watch still follows the last within discovery's 200 ms.
-const PAUSE: Duration = Duration::from_millis(100);
 
 /// Tells the broker whatever discovery says, for as long as the process lives. Serving never waits for it.
 pub async fn follow(
@@ -24,46 +20,63 @@
     mut address: watch::Receiver<String>,
     broker: &Broker,
     places: &Rc<Places>,
+    mut backoff: Backoff,
 ) {
     let (mut at, mut revision, mut said) = (String::new(), None, String::new());
+    // The last list serves meanwhile.
+    if broker.core(|core| core.ready()) {
+        tokio::time::sleep(backoff.start()).await;
+    }
     loop {
         let next = address.borrow_and_update().clone();
         if next != at {
             // Guards against changes missed between the two: another agent is asked for its whole list.
             (at, revision, said) = (next, None, String::new());
+            backoff.answered();
         }
         // Its floor holds it: it never has to wait for long, whatever the crowd.
         let _place = places.take(Side::Discovery).await;
-        let error = tokio::select! {
+        let (error, overbooked) = tokio::select! {
             biased;
             Ok(()) = address.changed() => continue,
-            error = session(dial, &at, broker, &mut revision) => error,
+            fault = session(dial, &at, broker, &mut revision, &mut backoff) => fault,
         };
         // An agent that is down is told of once, not at each try.
         if error != said {
             log::warn!("discovery at {at}: {error}; serving goes on with the last list");
             said = error;
         }
-        tokio::time::sleep(PAUSE).await;
+        // Guards against keeping an overbooked discovery so: a constant pause of all gatherers never let it recover.
+        tokio::select! {
+            () = tokio::time::sleep(backoff.pause(overbooked)) => {}
+            Ok(()) = address.changed() => address.mark_changed(),
+        }
     }
 }
 
-/// Watches on one connection until that fails.
-async fn session(dial: &dyn Dial, address: &str, broker: &Broker, revision: &mut Option<u64>) -> String {
+/// Watches on one connection until that fails; says why, and whether discovery has more to do than it bears.
+async fn session(
+    dial: &dyn Dial,
+    address: &str,
+    broker: &Broker,
+    revision: &mut Option<u64>,
+    backoff: &mut Backoff,
+) -> (String, bool) {
+    let wait = backoff.wait();
     let mut stream = match dial_within(dial, address, SLACK).await {
         Ok(stream) => stream,
-        Err(error) => return format!("cannot connect: {error}"),
+        Err(error) => return (format!("cannot connect: {error}"), true),
     };
     let mut buffer = BytesMut::new();
     loop {
-        let watch = revision.map(|revision| (revision, WAIT.as_millis() as u64));
+        let watch = revision.map(|revision| (revision, wait.as_millis() as u64));
         let request = http::request("GET", &discovery::path(watch), address, None);
         let exchange = client::exchange(&mut *stream, &mut buffer, &request, 4 * http::MOST_BODY);
-        let response = match tokio::time::timeout(WAIT + SLACK, exchange).await {
+        let response = match tokio::time::timeout(wait + SLACK, exchange).await {
             Ok(Ok(response)) if response.status == 200 => response,
-            Ok(Ok(response)) => return format!("status {}", response.status),
-            Ok(Err(error)) => return error.to_string(),
-            Err(_) => return "silent".to_owned(),
+            Ok(Ok(response)) => return (format!("status {}", response.status), true),
+            Ok(Err(error)) => return (error.to_string(), false),
+            Err(_) => return ("silent".to_owned(), false),
         };
         match discovery::listing(&response.body) {
             Ok(listing) => {
@@ -79,11 +92,12 @@
                     broker.learn(&listing, false);
                 }
                 *revision = Some(listing.revision);
+                backoff.answered();
             }
-            Err(error) => return format!("unreadable list: {error}"),
+            Err(error) => return (format!("unreadable list: {error}"), false),
         }
         if !response.keep_alive {
-            return "closed by the agent".to_owned();
+            return ("closed by the agent".to_owned(), false);
         }
     }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,6 +4,7 @@
 
 use clayshore::Aggregator;
 use clayshore::api::*;
+use clayshore::limits::Backoff;
 use common::{class, ms};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -205,3 +206,47 @@
         assert!(errs * 75 < all, "seed {seed}: {errs} of {all} sends to workers that err");
     }
 }
+
+#[test]
+fn an_overbooked_discovery_is_reached_by_all() {
+    // As herd+vast has it: a call takes 150 ms, 13 wait in turn, others are turned away, and a wait of 2 s fails. A
+    // constant pause, or one that starts short, keeps it so that nobody is served after the first two seconds.
+    const CALL: u64 = 150;
+    const TURN: usize = 13;
+    for seed in [1, 2] {
+        let mut callers: Vec<Backoff> =
+            (0..u64::from(ROOTS)).map(|id| Backoff::new(seed * 1000 + id, ROOTS)).collect();
+        let mut due: Vec<Option<u64>> =
+            callers.iter_mut().map(|caller| Some(caller.start().as_millis() as u64)).collect();
+        let (mut turn, mut free_at, mut served) = (std::collections::VecDeque::new(), 0, 0);
+        let mut calls = Vec::new();
+        for now in 0..90_000 {
+            for (id, caller) in callers.iter_mut().enumerate() {
+                if due[id].is_none_or(|at| at > now) {
+                    continue;
+                }
+                calls.push(now);
+                due[id] = None;
+                if turn.len() >= TURN {
+                    due[id] = Some(now + 1 + caller.pause(true).as_millis() as u64);
+                } else {
+                    turn.push_back((id, now));
+                }
+            }
+            if free_at <= now
+                && let Some((id, since)) = turn.pop_front()
+            {
+                free_at = now + CALL;
+                if now - since < 2000 {
+                    callers[id].answered();
+                    served += 1;
+                } else {
+                    due[id] = Some(now + 1 + callers[id].pause(true).as_millis() as u64);
+                }
+            }
+        }
+        let busiest = (0..90).map(|s| calls.iter().filter(|at| **at / 1000 == s).count()).max();
+        assert!(busiest < Some(20), "seed {seed}: {busiest:?} calls in a second");
+        assert_eq!(served, ROOTS, "seed {seed}: served of all callers, after {} calls", calls.len());
+    }
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -3,8 +3,8 @@
 
 use bytes::{BufMut, BytesMut};
 use clayshore::api::{Status, Time};
-use clayshore::limits::Plan;
 use clayshore::limits::crowd::Source;
+use clayshore::limits::{Backoff, Plan};
 use clayshore::program::config::Config;
 use clayshore::program::opensearch::OpenSearch;
 use clayshore::program::opensearch_file::FrontFile;
@@ -181,7 +181,9 @@
                         pipes.0.borrow_mut().insert(name.to_owned(), Party::new(Form::Requests));
                     }
                     let (dial, watcher, address) = (pipes.clone(), broker.clone(), agent.subscribe());
-                    spawn_local(async move { watch::follow(&dial, address, &watcher, &places).await });
+                    spawn_local(async move {
+                        watch::follow(&dial, address, &watcher, &places, Backoff::new(1, 1)).await
+                    });
                 }
                 let front = Platform { broker: broker.clone(), gate: gate.clone() };
                 run(rest, broker, workers, front, gate, pipes, agent).await
