Share discovery's call rate only where it has to be asked, and within the time it must be

Cause: limits/backoff.rs start() for every kind of discovery.

Change: pushed discovery is asked at once and again after 100 ms by lot, growing to 1 s; where it must be asked, the first call comes within 0.8 of the time in which an instance must ask, and pauses within 0.8 of four times that.

--- a/src/limits/backoff.rs
+++ b/src/limits/backoff.rs
@@ -5,8 +5,12 @@
 
 /// Calls a second that all callers together may make.
 const CALLS: u32 = 5;
-/// Pause after a failure that tells of no overload, and what the first after another comes to at least.
+/// The longest first pause after a failure that tells of no overload: the agent is on the own machine.
 const SHORT: Duration = Duration::from_millis(100);
+/// The longest pause, where being told is not counted in calls.
+const LONGEST: Duration = Duration::from_secs(1);
+/// Share of the time in which it must ask that a caller takes.
+const CARE: f64 = 0.8;
 /// Most doublings of a pause.
 const DOUBLINGS: u32 = 3;
 /// The shortest and the longest time that one call may wait for news.
@@ -17,13 +21,19 @@
 pub struct Backoff {
     random: fastrand::Rng,
     callers: u32,
+    ask_in: Duration,
     failures: u32,
 }
 
 impl Backoff {
-    /// For one of so many callers, who each have a seed of their own.
-    pub fn new(seed: u64, callers: u32) -> Backoff {
-        Backoff { random: fastrand::Rng::with_seed(seed), callers: callers.max(1), failures: 0 }
+    /// For one of so many callers, who each have a seed of their own. Who has not asked for `ask_in`, or for four
+    /// times as long after a failed call, is held to know what it would have been told.
+    pub fn new(seed: u64, callers: u32, ask_in: Duration) -> Backoff {
+        Backoff { random: fastrand::Rng::with_seed(seed), callers: callers.max(1), ask_in, failures: 0 }
+    }
+    /// For one whose calls cost the service nothing: it is told by itself, and an agent beside the caller answers.
+    pub fn pushed(seed: u64) -> Backoff {
+        Backoff::new(seed, 1, Duration::ZERO)
     }
     /// The service has answered.
     pub fn answered(&mut self) {
@@ -36,14 +46,15 @@
     /// How long to wait before the next call, after one that failed; where the service is overbooked, so long that
     /// all callers together stay under what it bears.
     pub fn pause(&mut self, overbooked: bool) -> Duration {
+        let first = if overbooked { SHORT + self.round() } else { SHORT };
         let most =
-            if overbooked { (SHORT + self.round()) * (1 << self.failures.min(DOUBLINGS)) } else { SHORT };
-        self.failures += u32::from(overbooked);
+            (first * (1 << self.failures.min(DOUBLINGS))).min((self.ask_in * 4).mul_f64(CARE).max(LONGEST));
+        self.failures += 1;
         most.mul_f64(self.random.f64())
     }
     /// How long to wait before the first call. Guards against all that start together asking together.
     pub fn start(&mut self) -> Duration {
-        self.round().mul_f64(self.random.f64() * (1.0 - 1.0 / f64::from(self.callers)))
+        self.round().min(self.ask_in.mul_f64(CARE)).mul_f64(self.random.f64())
     }
     /// How long a call may wait for news: it is a call again when the wait is over.
     pub fn wait(&self) -> Duration {
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -6,6 +6,7 @@
 use crate::routing::{Contracts, Listing};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Descriptors that a process may hold, and its memory, where the platform does not say.
 const SOCKETS: u64 = 1024;
@@ -55,6 +56,8 @@
     pub memory_mb: u64,
     /// The list of workers as it was last held.
     pub known: Option<Listing>,
+    /// Where discovery has to be asked: the time in which it must be.
+    pub ask_in: Option<Duration>,
     /// Contracts and limits.
     pub contracts: Contracts,
 }
@@ -116,7 +119,8 @@
         // Neither has a form on the platform's wires: an answer ends a query, and nothing is probed or asked for.
         contracts.settings.classes.iter_mut().for_each(|class| class.follow_up = 0);
         contracts.settings.may_probe = false;
-        contracts.settings.ask_discovery = false;
+        let ask = &mut contracts.settings.ask_discovery;
+        let ask_in = std::mem::take(ask).then_some(contracts.settings.must_ask_in);
         Ok(Config {
             name: text("name", "LB_NAME")?,
             listen,
@@ -124,6 +128,7 @@
             sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
             memory_mb,
             known,
+            ask_in,
             contracts,
         })
     }
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -48,7 +48,10 @@
         let digest = digest(&config.contracts);
         let clock = Clock::system();
         let (seed, roots) = (config.contracts.settings.seed, config.contracts.settings.roots);
-        let backoff = Backoff::new(seed, roots);
+        let backoff = match config.ask_in {
+            Some(ask_in) => Backoff::new(seed, roots, ask_in),
+            None => Backoff::pushed(seed),
+        };
         let broker = Broker::new(Core::new(config.contracts), clock);
         let start = format!("{:x}-{:x}", clock.now().0, std::process::id());
         let recording = Recording::begin(operator.records.as_ref(), &config.name, &start, &digest, &broker)?;
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -65,7 +65,7 @@
     let wait = backoff.wait();
     let mut stream = match dial_within(dial, address, SLACK).await {
         Ok(stream) => stream,
-        Err(error) => return (format!("cannot connect: {error}"), true),
+        Err(error) => return (format!("cannot connect: {error}"), false),
     };
     let mut buffer = BytesMut::new();
     loop {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -215,7 +215,7 @@
     const TURN: usize = 13;
     for seed in [1, 2] {
         let mut callers: Vec<Backoff> =
-            (0..u64::from(ROOTS)).map(|id| Backoff::new(seed * 1000 + id, ROOTS)).collect();
+            (0..u64::from(ROOTS)).map(|id| Backoff::new(seed * 1000 + id, ROOTS, ms(10_000))).collect();
         let mut due: Vec<Option<u64>> =
             callers.iter_mut().map(|caller| Some(caller.start().as_millis() as u64)).collect();
         let (mut turn, mut free_at, mut served) = (std::collections::VecDeque::new(), 0, 0);
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -182,7 +182,7 @@
                     }
                     let (dial, watcher, address) = (pipes.clone(), broker.clone(), agent.subscribe());
                     spawn_local(async move {
-                        watch::follow(&dial, address, &watcher, &places, Backoff::new(1, 1)).await
+                        watch::follow(&dial, address, &watcher, &places, Backoff::pushed(1)).await
                     });
                 }
                 let front = Platform { broker: broker.clone(), gate: gate.clone() };
