--- a/src/rules.rs
+++ b/src/rules.rs
@@ -511,9 +511,12 @@
 
     /// Share of the time to the aim inside which a query must be expected: the less, the busier leaves report
     /// to be. Guards against refusing on a quiet fleet what any replica would have served.
-    fn edge(&self, slowest: Option<LeafId>) -> f64 {
-        let Some(leaf) = slowest.and_then(|id| self.leaves.get(&id)) else { return ADMIT };
-        let Some(utilization) = leaf.utilization else { return ADMIT };
+    fn edge(&self) -> f64 {
+        let known: Vec<f64> = self.leaves.values().filter_map(|leaf| leaf.utilization).collect();
+        if known.is_empty() {
+            return ADMIT;
+        }
+        let utilization = known.iter().sum::<f64>() / known.len() as f64;
         let busy = ((utilization - BUSY.0) / (BUSY.1 - BUSY.0)).clamp(0.0, 1.0);
         CALM_EDGE + (ADMIT - CALM_EDGE) * busy
     }
@@ -548,8 +551,7 @@
             weight >= need - EPSILON
         });
         let ready = ready.map_or(f64::INFINITY, |(expected, _)| *expected);
-        let slowest = plan.iter().max_by(|a, b| a.4.total_cmp(&b.4)).map(|row| row.3);
-        let most = if partial { 1.0 } else { self.edge(slowest) };
+        let most = if partial { 1.0 } else { self.edge() };
         let edge = (most - self.lost.min(0.5)) * if over_share { OVER_SHARE_EDGE } else { 1.0 };
         for (_, work, _, to, _) in &plan {
             if let Some(leaf) = self.leaves.get_mut(to) {
@@ -672,7 +674,7 @@
                 let latency = seconds(end.elapsed);
                 let (own, slope) = self.model.line();
                 let rare = seconds(self.now.since(leaf.last_done)) / RARE;
-                let gain = (rare * rare / (1.0 + rare * rare)).clamp(2.0 * GAIN, 0.7);
+                let gain = (rare.powi(4) / (1.0 + rare.powi(4))).clamp(2.0 * GAIN, 0.7);
                 leaf.seen += gain * (latency - leaf.seen);
                 leaf.planned += gain * (own * work + slope * ahead - leaf.planned);
                 self.answered = self.now;
