Trust a zone again when one of its leaves answers; draw holds where used; judge no stall

Leaves that were suspect for their zone alone stayed so each for its own trial, 2.5 to 7.5 s at a hundred roots, after a cut that healed without restarts (judge_zones); a root that stood still took three late answers for a lost zone; overdue answers were reckoned twice a turn; each outcome drew a hold that few used; a call to discovery that was put off could not be ended by SIGHUP.

--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -119,8 +119,9 @@
         // Neither has a form on the platform's wires: an answer ends a query, and nothing is probed or asked for.
         contracts.settings.classes.iter_mut().for_each(|class| class.follow_up = 0);
         contracts.settings.may_probe = false;
-        let ask = &mut contracts.settings.ask_discovery;
-        let ask_in = std::mem::take(ask).then_some(contracts.settings.must_ask_in);
+        let asked = contracts.settings.ask_discovery;
+        let ask_in = asked.then_some(contracts.settings.must_ask_in);
+        contracts.settings.ask_discovery = false;
         Ok(Config {
             name: text("name", "LB_NAME")?,
             listen,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -113,10 +113,16 @@
         }
     }
     fn trust(&mut self) {
-        (self.suspect, self.silent, self.strikes) = (None, false, 0);
+        (self.suspect, self.silent, self.inferred, self.strikes) = (None, false, false, 0);
     }
 }
 
+/// First hold of a suspect: as long as keeps the trials of so many roots together under a rate for one leaf.
+fn hold(roots: u32, random: &mut fastrand::Rng) -> Duration {
+    let fleet = f64::from(roots) / TRIAL_RATE;
+    FIRST_HOLD.max(span(fleet * (0.5 + random.f64())))
+}
+
 enum Ending {
     Answer { whole: bool },
     Abandon { pause: Duration },
@@ -193,7 +199,6 @@
             actions.push(Action::Watch);
         }
         self.judge_silence(actions);
-        self.judge_zones(actions);
         self.settle(actions);
         self.admit(actions);
         self.pursue(actions);
@@ -516,12 +521,13 @@
         if known.is_empty() {
             return ADMIT;
         }
-        let utilization = known.iter().sum::<f64>() / known.len() as f64;
-        let busy = ((utilization - BUSY.0) / (BUSY.1 - BUSY.0)).clamp(0.0, 1.0);
+        let mean = known.iter().sum::<f64>() / known.len() as f64;
+        let busy = ((mean - BUSY.0) / (BUSY.1 - BUSY.0)).clamp(0.0, 1.0);
         CALM_EDGE + (ADMIT - CALM_EDGE) * busy
     }
 
     fn admit_one(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let usual_edge = self.edge();
         let Some(query) = self.queries.get_mut(&id) else { return };
         query.admitted = true;
         let over_share = query.over_share;
@@ -530,7 +536,8 @@
         };
         let need =
             if query.first_step.is_some() { class.min_share } else { class.min_share.min(class.whole_at) };
-        let partial = need < class.whole_at - EPSILON;
+        let most = if need < class.whole_at - EPSILON { 1.0 } else { usual_edge };
+        let edge = (most - self.lost.min(0.5)) * if over_share { OVER_SHARE_EDGE } else { 1.0 };
         let left = seconds(query.aim_at.since(self.now));
         let mut plan: Vec<(RequestId, f64, f64, LeafId, f64)> = Vec::new();
         for id in query.parts.clone() {
@@ -551,8 +558,6 @@
             weight >= need - EPSILON
         });
         let ready = ready.map_or(f64::INFINITY, |(expected, _)| *expected);
-        let most = if partial { 1.0 } else { self.edge() };
-        let edge = (most - self.lost.min(0.5)) * if over_share { OVER_SHARE_EDGE } else { 1.0 };
         for (_, work, _, to, _) in &plan {
             if let Some(leaf) = self.leaves.get_mut(to) {
                 (leaf.owed, leaf.call_room) = ((leaf.owed - work).max(0.0), 0);
@@ -689,6 +694,7 @@
             _ if self.stalled => {}
             (_, Outcome::Done) => self.overtake(end.leaf, class, sent),
             (Some(leaf), Outcome::Error) => leaf.judge(self.now, class, true),
+            (Some(leaf), Outcome::Refused) => leaf.unreached = Some(sent),
             // Counted where nothing was answered since, else where it was overtaken: it may be a queue.
             (Some(leaf), Outcome::TimedOut | Outcome::Cancelled)
                 if overdue && !missed && leaf.last_done < sent =>
@@ -697,9 +703,6 @@
             }
             _ => {}
         }
-        if let Some(leaf) = self.leaves.get_mut(&end.leaf).filter(|_| outcome == Outcome::Refused) {
-            leaf.unreached = Some(sent);
-        }
         self.judge_outcome(end.leaf, outcome, work);
         if let Some(report) = end.report {
             self.learn_report(end.leaf, &report);
@@ -762,39 +765,40 @@
     /// utilization, and an attempt that is twice overdue with nothing answered since makes the leaf suspect.
     fn judge_silence(&mut self, actions: &mut Vec<Action>) {
         let late = self.leaves.iter().map(|(id, leaf)| (*id, self.overdue(leaf)));
-        let late: Vec<(LeafId, f64)> = late.filter(|row| row.1 > 0.0).collect();
-        for (id, overdue) in late {
-            self.report(id, 1.0);
-            let (spread, hold) = (self.spread(), self.hold());
-            let Some(leaf) = self.leaves.get_mut(&id).filter(|leaf| leaf.suspect.is_none()) else { continue };
-            if overdue > spread && leaf.out.first().is_some_and(|(sent, _, _)| *sent > leaf.last_done) {
-                leaf.distrust(self.now, true, hold);
+        let late: BTreeMap<LeafId, f64> = late.filter(|row| row.1 > 0.0).collect();
+        let spread = self.spread();
+        for (id, overdue) in &late {
+            self.report(*id, 1.0);
+            let Some(leaf) = self.leaves.get_mut(id).filter(|leaf| leaf.suspect.is_none()) else { continue };
+            if *overdue > spread && leaf.out.first().is_some_and(|(sent, _, _)| *sent > leaf.last_done) {
+                leaf.distrust(self.now, true, hold(self.settings.roots, &mut self.random));
                 let text = format!("leaf {} suspect: silent, {overdue:.2} s late", id.0);
                 actions.push(Action::Trace { text });
             }
         }
+        // One that stood still itself hears of everything late.
+        if !self.stalled {
+            self.judge_zones(&late, actions);
+        }
     }
 
     /// Guards against learning of a lost zone one leaf after the other: where several of a zone's leaves are
     /// late or cannot be reached, and none has answered since, all of them are suspect at once.
-    fn judge_zones(&mut self, actions: &mut Vec<Action>) {
+    fn judge_zones(&mut self, late: &BTreeMap<LeafId, f64>, actions: &mut Vec<Action>) {
         let mut zones: BTreeMap<ZoneId, (Time, Vec<Time>)> = BTreeMap::new();
-        for leaf in self.leaves.values().filter(|leaf| leaf.entry.status == Status::Active) {
+        for (id, leaf) in self.leaves.iter().filter(|(_, leaf)| leaf.entry.status == Status::Active) {
             let zone = zones.entry(leaf.entry.zone).or_default();
             zone.0 = zone.0.max(leaf.spoke);
-            let since = leaf.out.first().map(|(sent, _, _)| *sent);
-            zone.1.extend(since.filter(|_| self.overdue(leaf) > 0.0).or(leaf.unreached));
+            let since = leaf.out.first().map(|(sent, _, _)| *sent).filter(|_| late.contains_key(id));
+            zone.1.extend(since.or(leaf.unreached));
         }
-        for (zone, (spoke, late)) in zones {
-            if late.iter().filter(|at| **at > spoke).count() < OUTAGE {
-                continue;
-            }
+        zones.retain(|_, (spoke, late)| late.iter().filter(|at| **at > *spoke).count() >= OUTAGE);
+        for zone in zones.into_keys() {
             let mut count = 0;
-            let hold = self.hold();
             let of = |leaf: &&mut Leaf| leaf.entry.zone == zone && leaf.suspect.is_none();
             for leaf in self.leaves.values_mut().filter(of) {
-                leaf.distrust(self.now, true, hold.mul_f64(0.5 + self.random.f64()));
-                count += 1;
+                leaf.distrust(self.now, true, hold(self.settings.roots, &mut self.random));
+                (leaf.inferred, count) = (true, count + 1);
             }
             if count > 0 {
                 let text = format!("zone {}: no answer from any leaf; {count} more are suspect", zone.0);
@@ -820,18 +824,17 @@
         }
     }
 
-    /// First hold of a suspect: as long as keeps the trials of all roots together under a rate for one leaf.
-    fn hold(&mut self) -> Duration {
-        let fleet = f64::from(self.settings.roots) / TRIAL_RATE;
-        span(seconds(FIRST_HOLD).max(fleet) * (1.0 + 0.5 * self.random.f64()))
-    }
-
     fn judge_outcome(&mut self, id: LeafId, outcome: Outcome, work: f64) {
-        let (now, hold) = (self.now, self.hold());
+        let now = self.now;
         let Some(leaf) = self.leaves.get_mut(&id) else { return };
         if matches!(outcome, Outcome::Done | Outcome::Error | Outcome::Busy) {
             (leaf.spoke, leaf.silent, leaf.unreached) = (now, false, None);
+            // Its zone is not lost: what is suspect for that alone is not.
+            let zone = leaf.entry.zone;
+            let of = |leaf: &&mut Leaf| leaf.inferred && leaf.entry.zone == zone;
+            self.leaves.values_mut().filter(of).for_each(Leaf::trust);
         }
+        let Some(leaf) = self.leaves.get_mut(&id) else { return };
         match outcome {
             Outcome::Done => {
                 let gap = seconds(now.since(leaf.last_done)) / SPAN;
@@ -846,7 +849,8 @@
                 // One connection that broke may be that alone; a process that died refuses the next.
                 let silent = outcome == Outcome::Refused;
                 if silent || leaf.strikes >= STRIKES {
-                    leaf.distrust(now, silent, if silent { hold } else { FIRST_HOLD });
+                    let hold = if silent { hold(self.settings.roots, &mut self.random) } else { FIRST_HOLD };
+                    leaf.distrust(now, silent, hold);
                 }
                 self.report(id, 1.0);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,6 +28,8 @@
     /// When it last gave any answer at all, and whether it is suspect for giving none.
     pub spoke: Time,
     pub silent: bool,
+    /// It is suspect because its zone seems lost, and for nothing of its own.
+    pub inferred: bool,
     /// When an attempt was sent that could not connect, with no answer since.
     pub unreached: Option<Time>,
     pub strikes: u32,
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -23,11 +23,14 @@
     mut backoff: Backoff,
 ) {
     let (mut at, mut revision, mut said) = (String::new(), None, String::new());
-    // The last list serves meanwhile.
-    if broker.core(|core| core.ready()) {
-        tokio::time::sleep(backoff.start()).await;
-    }
+    // Where there is a list, it serves meanwhile.
+    let mut pause = if broker.core(|core| core.ready()) { backoff.start() } else { Duration::ZERO };
     loop {
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            Ok(()) = address.changed() => address.mark_changed(),
+        }
+        pause = Duration::ZERO;
         let next = address.borrow_and_update().clone();
         if next != at {
             // Guards against changes missed between the two: another agent is asked for its whole list.
@@ -47,10 +50,7 @@
             said = error;
         }
         // Guards against keeping an overbooked discovery so: a constant pause of all gatherers never let it recover.
-        tokio::select! {
-            () = tokio::time::sleep(backoff.pause(overbooked)) => {}
-            Ok(()) = address.changed() => address.mark_changed(),
-        }
+        pause = backoff.pause(overbooked);
     }
 }
 
