Test the fleet on the roots that the tests have; cause a healed zone, a stall and a full turn

A zone that heals without a restart, and a root that stood still, were hard cases that nothing caused; that a constant pause keeps discovery overbooked was said and not asserted.

Change: tests/common/fleet.rs is the stand-in, on the existing roots; the tests assert on its sums.

--- /dev/null
+++ b/tests/common/fleet.rs
@@ -0,0 +1,115 @@
+//! A stand-in for the fleet at size: a hundred roots, sixty workers in three zones, and an overbooked discovery.
+
+use super::{Root, Sent, class, entry, ms, settings};
+use clayshore::api::*;
+use std::collections::VecDeque;
+
+pub const ROOTS: u32 = 100;
+const CELLS: u32 = 60;
+pub const ZONES: u32 = 3;
+const STEP: u64 = 10;
+
+/// What a worker does with whatever reaches it.
+#[derive(Clone, Copy)]
+pub enum Worker {
+    Answers,
+    /// Cannot be connected to: that takes 250 ms.
+    Lost,
+    /// Answers eight of ten attempts with an error, at once.
+    Errs,
+}
+
+/// When an attempt ends, and how.
+type Due = (Time, Sent, Outcome);
+
+/// The roots, each with what will come back to it, and the workers.
+pub struct Fleet {
+    roots: Vec<(Root, Vec<Due>)>,
+    workers: Vec<Worker>,
+    random: fastrand::Rng,
+}
+
+impl Fleet {
+    pub fn new(seed: u64, effect: Effect) -> Fleet {
+        let at = |id| Entry { zone: ZoneId(id % ZONES), cell: CellId(id), ..entry(id, Status::Active, None) };
+        let list: Vec<Entry> = (0..CELLS).map(at).collect();
+        let classes = vec![Class { aim: ms(650), ..class(effect) }];
+        let (cells, shards, most_attempts) = (CELLS, CELLS, Some(4));
+        let all = Settings { roots: ROOTS, classes, cells, span: 4, shards, most_attempts, ..settings() };
+        let root = |id: u32| {
+            let seed = seed << 32 | u64::from(id);
+            let own = Settings { seed, zone: ZoneId(id % ZONES), may_probe: false, ..all.clone() };
+            let mut root = Root::new(own, &[]);
+            root.turn(vec![Event::Membership(Membership::Full(list.clone().into()))]);
+            (root, Vec::new())
+        };
+        let (roots, workers) = ((0..ROOTS).map(root).collect(), vec![Worker::Answers; CELLS as usize]);
+        Fleet { roots, workers, random: fastrand::Rng::with_seed(seed) }
+    }
+
+    pub fn make(&mut self, which: impl Fn(u32) -> bool, worker: Worker) {
+        (0..CELLS).filter(|id| which(*id)).for_each(|id| self.workers[id as usize] = worker);
+    }
+
+    /// Lets time pass; each root gets four queries of eight parts a second. Returns the sends to these workers, and all.
+    pub fn pass(&mut self, span: u64, which: impl Fn(u32) -> bool) -> (usize, usize) {
+        let (mut to_these, mut all) = (0, 0);
+        for _ in 0..span / STEP {
+            for (root, due) in &mut self.roots {
+                root.now = root.now.after(ms(STEP));
+                let ready = due.extract_if(.., |(at, ..)| *at <= root.now);
+                let busy = |outcome| (outcome == Outcome::Done).then_some(0.5);
+                let ended = ready.map(|(_, sent, outcome)| root.end(sent, outcome, busy(outcome)));
+                let mut events: Vec<Event> = ended.collect();
+                events.push(Event::Due { handle: Handle(0) });
+                if self.random.u64(..1000) < 4 * STEP {
+                    let shards: [u32; 8] = std::array::from_fn(|_| self.random.u32(..CELLS));
+                    events.extend(root.query(Some(&format!("k{}", shards[0])), &shards).2);
+                }
+                let before = root.sent.len();
+                root.turn(events);
+                for sent in &root.sent[before..] {
+                    let worker = self.workers[sent.leaf.0 as usize];
+                    (to_these, all) = (to_these + usize::from(which(sent.leaf.0)), all + 1);
+                    let (outcome, took) = match worker {
+                        Worker::Lost => (Outcome::Refused, 250),
+                        Worker::Errs if self.random.u32(..10) < 8 => (Outcome::Error, STEP),
+                        _ => (Outcome::Done, 20 + self.random.u64(..20)),
+                    };
+                    due.push((root.now.after(ms(took)), *sent, outcome));
+                }
+                for action in &root.actions {
+                    let Action::Cancel { id, attempt } = action else { continue };
+                    let off = due.iter_mut().find(|(_, sent, _)| (sent.id, sent.attempt) == (*id, *attempt));
+                    off.into_iter().for_each(|off| (off.0, off.2) = (root.now, Outcome::Cancelled));
+                }
+            }
+        }
+        (to_these, all)
+    }
+}
+
+/// Callers that got their list from a discovery as herd+vast has it: a call takes 150 ms, 14 wait in turn, others are
+/// turned away, and who has waited for 2 s is served in vain. Also the most calls in a second.
+pub fn served(starts: Vec<u64>, mut pause: impl FnMut(usize) -> u64) -> (usize, usize) {
+    let mut due: Vec<Option<u64>> = starts.into_iter().map(Some).collect();
+    let (mut turn, mut done, mut calls) = (VecDeque::new(), 0, vec![0; 90]);
+    for now in 0..90_000 {
+        for (id, due) in due.iter_mut().enumerate() {
+            if due.is_some_and(|at| at <= now) {
+                calls[now as usize / 1000] += 1;
+                let full = turn.len() >= 14;
+                *due = full.then(|| now + 1 + pause(id));
+                turn.extend((!full).then_some((id, now)));
+            }
+        }
+        if now % 150 == 0
+            && let Some((id, since)) = turn.pop_front()
+        {
+            let late = now - since >= 2000;
+            due[id] = late.then(|| now + 1 + pause(id));
+            done += usize::from(!late);
+        }
+    }
+    (done, calls.into_iter().max().unwrap_or(0))
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A root in miniature: hands events to the module and books what it asks for.
 #![allow(dead_code)] // each test file uses its own share of this
 
+pub mod fleet;
+
 use clayshore::Aggregator;
 use clayshore::api::*;
 use std::sync::Arc;
