--- a/src/rules.rs
+++ b/src/rules.rs
@@ -79,8 +79,8 @@
 const TRIAL_RATE: f64 = 20.0;
 /// Leaves of one zone without answer, and none with, from which all of it is suspect.
 const OUTAGE: usize = 3;
-/// Slack in sums of weights, as the sums are rounded.
-const EPSILON: f64 = 1e-5;
+/// Slack in sums of weights, which come rounded: the rule on honest answers lets them fall so short.
+const EPSILON: f64 = 1e-4;
 
 impl Leaf {
     /// Books a part, and its place in the turn's call.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -46,6 +46,30 @@
     assert_eq!(answered(&root, query), Some(true));
 }
 
+#[test]
+fn weights_that_come_rounded_make_a_whole_answer_and_only_all_of_them() {
+    // split+mass: 45 parts of 0.022222 weigh 0.99999, and every query of the class was refused.
+    for parts in 1..=100 {
+        let shards: Vec<u32> = (0..parts).collect();
+        let mut root = Root::new(Settings { shards: parts, ..settings() }, &[1, 2, 3]);
+        let (query, _, mut events) = root.query(Some("k"), &shards);
+        for event in &mut events {
+            if let Event::Part(part) = event {
+                part.weight = (1e6 / f64::from(parts)).round() / 1e6;
+                part.hint = Some(ms(1));
+            }
+        }
+        root.turn(events);
+        let (last, others) = root.sent.split_last().expect("it is taken");
+        let (last, done) = (root.end(*last, Outcome::Done, None), others.iter());
+        let others = done.map(|sent| root.end(*sent, Outcome::Done, None)).collect();
+        root.turn(others);
+        assert_eq!(answered(&root, query), None, "{parts} parts, one of them out");
+        root.turn(vec![last]);
+        assert_eq!(answered(&root, query), Some(true), "{parts} parts, all in");
+    }
+}
+
 #[test]
 fn a_query_without_replicas_is_refused_at_once() {
     let mut root = Root::new(settings(), &[]);
