Judge a zone's new processes by themselves: it was lost again for what the old ones missed

A zone of 56 of 168 workers dies at 5.7 s and is back, cold, at 10.7 s; the lists that name its new starts come at 13.10 and 14.41 s. At 313 and 65 of 321 gatherers the zone is called lost again within 0.4 s of each list, for instance: 7.316 module: zone 2: no answer from any leaf; 56 more are suspect 13.387 module: zone 2: no answer from any leaf; 43 more are suspect 14.765 module: zone 2: no answer from any leaf; 13 more are suspect `judge_zones` (src/rules.rs) counted attempts that the old processes left without answer, still out or marked as unreached, although `learn_membership` holds a new process free of what was held against its old one. Ruled out: that the new processes were silent too (sends to them were answered once they were made).

Change: only what was sent after a worker's own start counts against its zone. The test fails without it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -790,7 +790,8 @@
             let zone = zones.entry(leaf.entry.zone).or_default();
             zone.0 = zone.0.max(leaf.spoke);
             let since = leaf.out.first().map(|(sent, _, _)| *sent).filter(|_| late.contains_key(id));
-            zone.1.extend(since.or(leaf.unreached));
+            // What its last process missed says nothing of a new one.
+            zone.1.extend(since.or(leaf.unreached).filter(|at| leaf.cold_from.is_none_or(|from| *at > from)));
         }
         zones.retain(|_, (spoke, late)| late.iter().filter(|at| **at > *spoke).count() >= OUTAGE);
         for zone in zones.into_keys() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -683,3 +683,24 @@
         assert_eq!(told, lost, "in steps of {step} ms");
     }
 }
+
+#[test]
+fn a_zone_that_is_back_with_new_processes_is_not_lost_for_what_the_old_ones_missed() {
+    // zone+mass: each root called the whole zone lost again 10 ms after the list that named its workers' new starts.
+    let mut root = Root::new(Settings { may_probe: false, ..settings() }, &[1, 2, 3, 4, 5, 6]);
+    let lost = |root: &Root| {
+        root.actions.iter().any(|a| matches!(a, Action::Trace { text } if text.contains("zone 0: no answer")))
+    };
+    let mut told = false;
+    (0..12).for_each(|key| drop(root.ask(Some(&format!("k{key}")), &[0])));
+    for _ in 0..300 {
+        root.pass(10);
+        told |= lost(&root);
+    }
+    assert!(told, "nothing in it answers");
+    root.pass(1000);
+    let since = Some(root.now);
+    let back = (1..=6).map(|leaf| entry(leaf, Status::Active, since)).collect();
+    root.turn(vec![Event::Membership(Membership::Full(back))]);
+    assert!(!lost(&root), "it is lost again for what came before the new starts");
+}
