Let a step that tells of one worker alone not part a slowdown of the fleet

`workers` (src/records/diagnosis.rs) calls the fleet slow by two workers at least, but `spans` let any step with enough sent to one worker end the span.

Change: a step parts a slowdown of the fleet only where it has two workers to judge by.

--- a/src/records/diagnosis.rs
+++ b/src/records/diagnosis.rs
@@ -8,6 +8,8 @@
 
 /// A start that has written nothing for so long, while others did, is dead. Figures come each second.
 const SILENT_MS: u64 = 5_000;
+/// Fewer workers than this tell nothing of the fleet.
+const FEWEST: usize = 2;
 /// So many deaths of one gatherer, each within so long of the one before, are a loop.
 const LOOP: usize = 3;
 const LOOP_MS: u64 = 300_000;
@@ -184,13 +186,18 @@
     (attempts.done() >= LEAST_SEEN).then(|| attempts.done_us as f64 / attempts.done() as f64)
 }
 
-/// Steps in a row become one span; steps in which too little was sent to tell do not part them.
-fn spans(summary: &Summary, steps: &BTreeSet<u64>) -> Vec<(u64, u64)> {
+/// Whether enough was sent in a step to tell of any worker.
+fn tells(step: &Step) -> bool {
+    step.attempts.values().any(|attempts| attempts.all() >= LEAST_SEEN)
+}
+
+/// Steps in a row become one span; steps that cannot tell do not part them.
+fn spans(summary: &Summary, steps: &BTreeSet<u64>, tells: impl Fn(u64, &Step) -> bool) -> Vec<(u64, u64)> {
     let mut spans: Vec<(u64, u64)> = Vec::new();
     let mut goes_on = false;
     for (begin, step) in &summary.steps {
         if !steps.contains(begin) {
-            goes_on &= step.attempts.values().all(|attempts| attempts.all() < LEAST_SEEN);
+            goes_on &= !tells(*begin, step);
             continue;
         }
         let to = begin + summary.step_ms();
@@ -231,7 +238,7 @@
     for (begin, paces) in &paces {
         let behind = |name: &str, pace: f64| pace / usual.get(name).copied().unwrap_or(pace).max(1.0);
         let slower = paces.iter().filter(|(name, pace)| behind(name, **pace) >= SLOW_FLEET).count();
-        if paces.len() >= 2 && slower as f64 >= FLEET * paces.len() as f64 {
+        if paces.len() >= FEWEST && slower as f64 >= FLEET * paces.len() as f64 {
             fleet.insert(*begin);
             let all = median(paces.iter().map(|(name, pace)| behind(name, *pace)).collect());
             fleet_worst = fleet_worst.max(all.unwrap_or(0.0));
@@ -247,7 +254,9 @@
         }
     }
     let mut findings = Vec::new();
-    for (from_ms, to_ms) in spans(summary, &fleet) {
+    for (from_ms, to_ms) in
+        spans(summary, &fleet, |begin, _| paces.get(&begin).is_some_and(|paces| paces.len() >= FEWEST))
+    {
         findings.push(Finding {
             what: What::FleetSlow,
             from_ms,
@@ -260,7 +269,7 @@
         });
     }
     for (worker, steps) in slow {
-        for (from_ms, to_ms) in spans(summary, &steps) {
+        for (from_ms, to_ms) in spans(summary, &steps, |_, step| tells(step)) {
             findings.push(Finding {
                 what: What::WorkerSlow { worker: worker.to_owned() },
                 from_ms,
@@ -292,7 +301,7 @@
     }
     let mut findings = Vec::new();
     for (worker, (steps, lost, all)) in steps {
-        for (from_ms, to_ms) in spans(summary, &steps) {
+        for (from_ms, to_ms) in spans(summary, &steps, |_, step| tells(step)) {
             findings.push(Finding {
                 what: What::WorkerLoses { worker: worker.to_owned() },
                 from_ms,
@@ -328,7 +337,7 @@
         }
     }
     let mut findings = Vec::new();
-    for (from_ms, to_ms) in spans(summary, &steps) {
+    for (from_ms, to_ms) in spans(summary, &steps, |_, step| tells(step)) {
         let slow = others.iter().find(|finding| {
             finding.what == What::FleetSlow && finding.from_ms < to_ms && finding.to_ms > from_ms
         });
