--- a/examples/flood.rs
+++ b/examples/flood.rs
@@ -27,7 +27,7 @@
     fn malformed(&self, error: Malformed) -> Response {
         Response::text(error.status(), error.to_string())
     }
-    fn crowded(&self) -> Response {
+    fn crowded(&self, _: Option<&Request>) -> Response {
         Response::text(503, "crowded")
     }
     fn caller<'a>(&self, _request: &'a Request) -> Option<&'a str> {
@@ -101,8 +101,8 @@
     LocalSet::new().block_on(&runtime, async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let to = listener.local_addr().expect("an address");
-        let plan = Plan::new(descriptors as usize, 16).expect("enough");
-        let gate = Gate::new(Places::new(plan, 12 << 20));
+        let plan = Plan::new(descriptors as usize, 16, 0).expect("enough");
+        let gate = Gate::new(Places::new(plan, 12 << 20), Duration::from_secs(6));
         let tended = gate.clone();
         tokio::task::spawn_local(async move { tended.tend().await });
         tokio::task::spawn_local(accept(listener, Rc::new(Echo), gate.clone()));
--- /dev/null
+++ b/src/fronts/mod.rs
@@ -0,0 +1,15 @@
+//! What is spoken to whom: the platform's protocol and the OpenSearch-style form to clients, calls to operators. Each
+//! front sees a request through from its bytes to its one answer.
+
+pub mod opensearch;
+pub mod operators;
+pub mod platform;
+
+use crate::routing::Broker;
+use crate::transport::gate::Gate;
+
+/// All counts since the start, a line each: of queries and attempts, and of connections.
+pub fn counts(broker: &Broker, gate: &Gate) -> String {
+    let queries = broker.core(|core| core.counters.to_string());
+    format!("counters: {queries}\nconnections: {}", gate.places().tally.borrow())
+}
--- a/src/program/opensearch.rs
+++ b/src/fronts/opensearch.rs
@@ -1,13 +1,14 @@
 //! The OpenSearch-style front: searches, pages of held results, and keys for searches that must not run twice.
 
-use super::run::counts;
+use super::counts;
 use crate::api::*;
 use crate::protocol::http::{Malformed, Request, Response};
 use crate::protocol::opensearch::{self, Fault, Merged, Search};
 use crate::routing::held::Held;
 use crate::routing::ledger::{Bounds, Claim, Ledger};
 use crate::routing::{Ask, AskPart, Broker, Clock, Refusal, Verdict};
-use crate::transport::gate::{Gate, Phase};
+use crate::service::Stage;
+use crate::transport::gate::Gate;
 use crate::transport::listener::Front;
 use bytes::Bytes;
 use serde_json::{Value, json};
@@ -88,7 +89,7 @@
         if checked.once {
             return self.search_once(checked, request.headers.get("Idempotency-Key")).await;
         }
-        if self.gate.phase() != Phase::Serving {
+        if self.gate.stage().stops() {
             return Ok(self.stopping(&checked.ask));
         }
         Ok(self.run(checked).await.0)
@@ -109,7 +110,7 @@
         let lost = || Fault::new(500, "illegal_state_exception", "the search ended without an outcome");
         let claim = self.ledger.borrow_mut().claim(self.clock.now(), key, &checked.owner, checked.digest);
         let mut told = match claim {
-            Claim::Run(_) if self.gate.phase() != Phase::Serving => {
+            Claim::Run(_) if self.gate.stage().stops() => {
                 // Repeats still get their outcome; nothing new runs.
                 let refused = self.stopping(&checked.ask);
                 self.ledger.borrow_mut().finish(self.clock.now(), key, refused.clone(), 0, false);
@@ -326,10 +327,8 @@
     }
 
     fn health(&self) -> Response {
-        match self.gate.phase() {
-            Phase::Serving => Response::text(200, "serving"),
-            Phase::Stopping | Phase::Closing => Response::text(503, "stopping"),
-        }
+        let stage = self.gate.stage();
+        Response::text(if stage == Stage::Serving { 200 } else { 503 }, stage.name())
     }
 }
 
@@ -350,7 +349,7 @@
         Fault::new(error.status(), "parsing_exception", error.to_string()).response()
     }
 
-    fn crowded(&self) -> Response {
+    fn crowded(&self, _: Option<&Request>) -> Response {
         let pause = self.broker.core(|core| core.contracts().settings.longest_pause);
         opensearch::refused(Refusal::Full, pause)
     }
--- a/src/program/platform.rs
+++ b/src/fronts/platform.rs
@@ -1,10 +1,11 @@
 //! The platform's front: one function sees each request through, from its bytes to its one answer.
 
-use super::run::counts;
+use super::counts;
 use crate::protocol::http::{Malformed, Request, Response};
 use crate::protocol::platform;
 use crate::routing::Broker;
-use crate::transport::gate::{Gate, Phase};
+use crate::service::Stage;
+use crate::transport::gate::Gate;
 use crate::transport::listener::Front;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,7 +30,7 @@
                 return Response::text(400, invalid.to_string());
             }
         };
-        if self.gate.phase() == Phase::Closing {
+        if !self.gate.stage().takes() {
             self.broker.core(|core| core.refuse_stopping(ask.class, ask.tenant));
             return platform::refusal(Some(STOPPING_PAUSE));
         }
@@ -42,10 +43,10 @@
     }
 
     fn health(&self) -> Response {
-        match self.gate.phase() {
-            Phase::Serving if self.broker.core(|core| core.ready()) => Response::text(200, "serving"),
-            Phase::Serving => Response::text(503, "no worker is known yet"),
-            Phase::Stopping | Phase::Closing => Response::text(503, "stopping"),
+        match self.gate.stage() {
+            Stage::Serving if self.broker.core(|core| core.ready()) => Response::text(200, "serving"),
+            Stage::Serving => Response::text(503, "no worker is known yet"),
+            stage => Response::text(503, stage.name()),
         }
     }
 }
@@ -67,7 +68,15 @@
         Response::text(error.status(), error.to_string())
     }
 
-    fn crowded(&self) -> Response {
+    fn crowded(&self, request: Option<&Request>) -> Response {
+        let asked = request.filter(|request| request.path == "/api");
+        self.broker.core(|core| {
+            let class =
+                asked.and_then(|request| core.contracts().class(request.headers.get("X-Call-Class")?));
+            if let Some(class) = class.map(|(class, _)| class) {
+                core.refuse_crowded(class);
+            }
+        });
         platform::refusal(self.broker.core(|core| core.contracts().settings.longest_pause))
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,12 +68,14 @@
 
 pub mod api;
 mod estimates;
+pub mod fronts;
 pub mod limits;
 pub mod program;
 pub mod protocol;
 pub mod records;
 pub mod routing;
 pub mod rules;
+pub mod service;
 mod state;
 pub mod transport;
 
--- a/src/limits/descriptors.rs
+++ b/src/limits/descriptors.rs
@@ -13,10 +13,12 @@
     Discovery,
     /// Files.
     Files,
+    /// Operators' calls.
+    Operators,
 }
 
 /// All sides, in the order of the arrays here.
-pub const SIDES: [Side; 4] = [Side::Clients, Side::Workers, Side::Discovery, Side::Files];
+pub const SIDES: [Side; 5] = [Side::Clients, Side::Workers, Side::Discovery, Side::Files, Side::Operators];
 
 impl fmt::Display for Side {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -25,6 +27,7 @@
             Side::Workers => "workers",
             Side::Discovery => "discovery",
             Side::Files => "files",
+            Side::Operators => "operators",
         })
     }
 }
@@ -35,6 +38,8 @@
 const DISCOVERY: usize = 2;
 /// Descriptors of files: the configuration when it is read again, and what writes beside serving.
 const FILES: usize = 4;
+/// Descriptors of operators' calls, where operators may call.
+pub const OPERATORS: usize = 8;
 
 /// How a process divides its descriptors.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,7 +47,7 @@
     /// Descriptors that there are to divide.
     pub usable: usize,
     /// What each side can always have.
-    pub floors: [usize; 4],
+    pub floors: [usize; SIDES.len()],
     /// Kept free where that is possible, so that whoever comes has a place before another has left.
     pub door: usize,
 }
@@ -59,14 +64,15 @@
 
 impl Plan {
     /// Divides `limit` descriptors, of which `standing` (listener, signals, the log, the event queue) are in use for
-    /// good: a third of the rest is the clients' floor and a quarter the workers'.
-    pub fn new(limit: usize, standing: usize) -> Result<Plan, TooFew> {
+    /// good: `operators` are kept for operators' calls; a third of the rest is the clients' floor, a quarter the workers'.
+    pub fn new(limit: usize, standing: usize, operators: usize) -> Result<Plan, TooFew> {
         let usable = limit.saturating_sub(standing);
         if limit < LEAST || usable < LEAST / 2 {
             return Err(TooFew { limit, standing });
         }
-        let rest = usable - DISCOVERY - FILES;
-        Ok(Plan { usable, floors: [rest / 3, rest / 4, DISCOVERY, FILES], door: (usable / 32).clamp(2, 16) })
+        let rest = usable - DISCOVERY - FILES - operators.min(OPERATORS);
+        let floors = [rest / 3, rest / 4, DISCOVERY, FILES, operators.min(OPERATORS)];
+        Ok(Plan { usable, floors, door: (usable / 32).clamp(2, 16) })
     }
 }
 
@@ -86,14 +92,14 @@
 #[derive(Clone, Debug)]
 pub struct Descriptors {
     plan: Plan,
-    held: [usize; 4],
-    firm: [usize; 4],
+    held: [usize; SIDES.len()],
+    firm: [usize; SIDES.len()],
 }
 
 impl Descriptors {
     /// All are free.
     pub fn new(plan: Plan) -> Descriptors {
-        Descriptors { plan, held: [0; 4], firm: [0; 4] }
+        Descriptors { plan, held: [0; SIDES.len()], firm: [0; SIDES.len()] }
     }
 
     /// How they are divided.
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -48,6 +48,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub operator: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: String,
     /// Descriptors that it may hold.
@@ -82,8 +84,14 @@
             }
             .ok_or_else(|| Faulty::new(key, "missing, or no text"))
         };
-        let listen = text("listen", "LB_LISTEN")?;
-        let listen = listen.parse().map_err(|_| Faulty::new("listen", format!("no address {listen:?}")))?;
+        let address = |key: &str, name: &str| {
+            let text = text(key, name)?;
+            text.parse().map_err(|_| Faulty::new(key, format!("no address {text:?}")))
+        };
+        let listen = address("listen", "LB_LISTEN")?;
+        let operated =
+            json.get("operator").is_some_and(|value| !value.is_null()) || variable("LB_OPERATOR").is_some();
+        let operator = operated.then(|| address("operator", "LB_OPERATOR")).transpose()?;
         let seed = match json.get("seed") {
             None => 0,
             Some(Value::Number(number)) => number.as_u64().unwrap_or(0),
@@ -125,6 +133,7 @@
         Ok(Config {
             name: text("name", "LB_NAME")?,
             listen,
+            operator,
             discovery: text("discovery", "LB_DISCOVERY")?,
             sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
             memory_mb,
--- a/src/program/opensearch_file.rs
+++ b/src/program/opensearch_file.rs
@@ -1,9 +1,9 @@
 //! The file of the OpenSearch-style front, read and checked here.
 
 use super::config::Error;
-use super::opensearch::Names;
 use super::settings::Faulty;
 use crate::api::*;
+use crate::fronts::opensearch::Names;
 use crate::limits::descriptors;
 use crate::routing::{Contracts, Limits, Listing, Member};
 use serde::Deserialize;
--- a/src/program/process.rs
+++ b/src/program/process.rs
@@ -1,7 +1,7 @@
 //! What the process itself may use: its own limit of descriptors, and those in use before any connection.
 
 use crate::limits::Plan;
-use crate::limits::descriptors::TooFew;
+use crate::limits::descriptors::{OPERATORS, TooFew};
 use rlimit::Resource;
 
 /// Descriptors that are taken to be in use where the system does not say.
@@ -39,18 +39,19 @@
 
 /// Divides the descriptors that the configuration and the system leave. To be called once everything that stays open
 /// for good is open.
-pub fn plan(configured: usize) -> Result<Plan, TooFew> {
+pub fn plan(configured: usize, operated: bool) -> Result<Plan, TooFew> {
     let (limit, standing) = (allowed(configured), standing());
     if limit < configured {
         log::warn!("of {configured} descriptors configured the system allows {limit}");
     }
-    let plan = Plan::new(limit, standing)?;
+    let plan = Plan::new(limit, standing, if operated { OPERATORS } else { 0 })?;
     log::info!(
-        "{limit} descriptors, {standing} in use; floors: clients {}, workers {}, discovery {}, files {}",
+        "{limit} descriptors, {standing} in use; floors: clients {}, workers {}, discovery {}, files {}, operators {}",
         plan.floors[0],
         plan.floors[1],
         plan.floors[2],
-        plan.floors[3]
+        plan.floors[3],
+        plan.floors[4]
     );
     Ok(plan)
 }
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -1,17 +1,21 @@
 //! Start and end of the process.
 
 use super::config::{Config, Error};
-use super::opensearch::OpenSearch;
 use super::opensearch_file::FrontFile;
 use super::operator::Operator;
-use super::platform::Platform;
 use super::process;
 use super::recording::Recording;
 use crate::api::Settings;
+use crate::fronts::counts;
+use crate::fronts::opensearch::OpenSearch;
+use crate::fronts::operators::Operators;
+use crate::fronts::platform::Platform;
 use crate::limits::{Backoff, Side};
 use crate::records::line::Body;
 use crate::routing::{Broker, Carrier, Clock, Contracts, Core};
-use crate::transport::gate::{Gate, Phase};
+use crate::service::stage::Call;
+use crate::transport::desk;
+use crate::transport::gate::Gate;
 use crate::transport::index_servers::IndexServers;
 use crate::transport::listener::{self, Front};
 use crate::transport::places::Places;
@@ -26,10 +30,6 @@
 use tokio::sync::watch::Sender;
 use tokio::task::{LocalSet, spawn_local};
 
-/// After SIGTERM, the time in which the front layer still sends clients here, and more: who comes is served.
-const LINGER: Duration = Duration::from_millis(600);
-/// The end is due no sooner than this after LINGER, or than the longest deadline where that is longer.
-const LEAST_GRACE: Duration = Duration::from_secs(3);
 /// How often the end looks whether all is answered.
 const LOOK: Duration = Duration::from_millis(10);
 /// Time past the longest deadline after which the end no longer waits for a client to read its answer.
@@ -44,8 +44,12 @@
     in_runtime(async move {
         let hangups = signal(SignalKind::hangup())?;
         let listener = TcpListener::bind(config.listen).await?;
-        let places = places(config.sockets, config.memory_mb)?;
-        let digest = digest(&config.contracts);
+        let operators = match config.operator {
+            Some(address) => Some(TcpListener::bind(address).await?),
+            None => None,
+        };
+        let places = places(config.sockets, config.memory_mb, operators.is_some())?;
+        let (digest, longest) = (digest(&config.contracts), longest(&config.contracts));
         let clock = Clock::system();
         let (seed, roots) = (config.contracts.settings.seed, config.contracts.settings.roots);
         let backoff = match config.ask_in {
@@ -61,7 +65,12 @@
         let dial: Rc<dyn Dial> = Rc::new(Tcp);
         let workers = Workers::new(broker.clone(), dial.clone(), places.clone());
         spawn_local(workers.clone().give_way());
-        let gate = Gate::new(places.clone());
+        let gate = Gate::new(places.clone(), longest);
+        if let Some(listener) = operators {
+            log::info!("operators may call {}", listener.local_addr()?);
+            let desk = Operators { broker: broker.clone(), gate: gate.clone() };
+            spawn_local(desk::attend(listener, Rc::new(desk), places.clone()));
+        }
         let front = Platform { broker: broker.clone(), gate: gate.clone() };
         let watcher = broker.clone();
         let discovery = Sender::new(config.discovery);
@@ -89,9 +98,9 @@
     in_runtime(async move {
         let hangups = signal(SignalKind::hangup())?;
         let listener = TcpListener::bind(file.listen).await?;
-        let places = places(file.sockets, file.memory_mb)?;
+        let places = places(file.sockets, file.memory_mb, false)?;
         let clock = Clock::system();
-        let digest = digest(&file.contracts);
+        let (digest, longest) = (digest(&file.contracts), longest(&file.contracts));
         let broker = Broker::new(Core::new(file.contracts), clock);
         // Two starts have the same name only if they draw the same seed in the same nanosecond.
         let start = format!("{:x}-{seed:016x}", clock.now().0);
@@ -106,7 +115,7 @@
         }));
         let servers = IndexServers::new(broker.clone(), Rc::new(Tcp), places.clone());
         spawn_local(servers.clone().give_way());
-        let gate = Gate::new(places);
+        let gate = Gate::new(places, longest);
         let front = OpenSearch::new(broker.clone(), clock, gate.clone(), file.names, start, seed);
         serve(listener, "opensearch", broker, servers, front, gate, recording).await
     })
@@ -127,18 +136,19 @@
     gate: Rc<Gate>,
     recording: Recording,
 ) -> io::Result<()> {
-    let longest =
-        broker.core(|core| core.contracts().settings.classes.iter().map(|class| class.deadline).max());
+    let longest = broker.core(|core| longest(core.contracts()));
     let at = listener.local_addr()?;
     let driver = broker.clone();
     spawn_local(async move { driver.drive(&carrier).await });
     let tended = gate.clone();
     spawn_local(async move { tended.tend().await });
+    let aged = gate.clone();
+    spawn_local(async move { aged.age().await });
     let kept = spawn_local(recording.clone().keep(broker.clone(), gate.clone()));
     spawn_local(listener::accept(listener, Rc::new(front), gate.clone()));
     log::info!("{name} serving on {at}");
     stopped().await?;
-    let answered = wind_up(&broker, &gate, longest.unwrap_or_default()).await;
+    let answered = wind_up(&broker, &gate, longest).await;
     kept.abort();
     recording.end(&broker, &gate, answered);
     counts(&broker, &gate).lines().for_each(|line| log::info!("{line}"));
@@ -151,15 +161,14 @@
     format!("{:?}", Contracts { settings, ..contracts.clone() })
 }
 
-/// All counts since the start, a line each: of queries and attempts, and of connections.
-pub fn counts(broker: &Broker, gate: &Gate) -> String {
-    let queries = broker.core(|core| core.counters.to_string());
-    format!("counters: {queries}\nconnections: {}", gate.places().tally.borrow())
+/// The longest deadline of any class.
+fn longest(contracts: &Contracts) -> Duration {
+    contracts.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
 }
 
 /// Divides what the process may use; called once everything that stays open is open.
-fn places(sockets: usize, memory_mb: u64) -> io::Result<Rc<Places>> {
-    let plan = process::plan(sockets).map_err(io::Error::other)?;
+fn places(sockets: usize, memory_mb: u64, operated: bool) -> io::Result<Rc<Places>> {
+    let plan = process::plan(sockets, operated).map_err(io::Error::other)?;
     Ok(Places::new(plan, process::buffered(memory_mb)))
 }
 
@@ -200,10 +209,9 @@
 /// its time is up.
 async fn wind_up(broker: &Broker, gate: &Gate, longest: Duration) -> bool {
     log::info!("stopping: {} connections are open", gate.open());
-    gate.enter(Phase::Stopping);
-    // Where deadlines are short, clients keep the connections they have for longer: another gatherer may be down.
-    tokio::time::sleep(LINGER + LEAST_GRACE.saturating_sub(longest)).await;
-    gate.enter(Phase::Closing);
+    // It cannot be refused: nothing stops twice, and a second stop is the first.
+    let _ = gate.call(Call::Stop);
+    gate.closing().await;
     let all_answered = async {
         // A search that runs once goes on without its client, for the outcome is to be known.
         while gate.open() > 0 || broker.core(|core| core.open()) > 0 {
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,4 +5,5 @@
 pub mod http;
 pub mod opensearch;
 pub mod platform;
+pub mod statsd;
 pub mod trace;
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -1,7 +1,7 @@
 //! The life of queries without any input or output: events go in, orders come out, time is handed in.
 
 use super::contracts::Contracts;
-use super::counters::Counters;
+use super::counters::{Counters, Ends};
 use super::roster::{Listing, Roster};
 use crate::Aggregator;
 use crate::api::*;
@@ -218,6 +218,8 @@
     next: u64,
     /// What it has counted so far.
     pub counters: Counters,
+    /// How the queries of each class ended.
+    ends: Vec<Ends>,
     /// The same by class, tenant and server, for the records; `None` where there are none.
     pub figures: Option<Figures>,
     /// What has changed since it was last read, for the records; nothing where there are none.
@@ -231,6 +233,7 @@
     pub fn new(contracts: Contracts) -> Core {
         Core {
             module: Aggregator::new(contracts.settings.clone()),
+            ends: vec![Ends::default(); contracts.classes.len()],
             contracts,
             inbox: Vec::new(),
             orders: Vec::new(),
@@ -277,6 +280,7 @@
     pub fn offer(&mut self, now: Time, ask: Ask) -> Result<RequestId, Verdict> {
         self.counters.taken += 1;
         let seen = Seen { class: ask.class.0, tenant: ask.tenant.map(|tenant| tenant.0) };
+        self.came(seen.class);
         if let Some(figures) = &mut self.figures {
             figures.taken(seen);
         }
@@ -532,7 +536,30 @@
         }
     }
 
+    fn came(&mut self, class: usize) {
+        if let Some(ends) = self.ends.get_mut(class) {
+            ends.came += 1;
+        }
+    }
+
+    /// Every end of a query passes here, once.
+    fn count(&mut self, class: usize, end: figures::End) {
+        if let Some(ends) = self.ends.get_mut(class) {
+            *match end {
+                figures::End::WholeInTime | figures::End::WholeLate | figures::End::Partial => {
+                    &mut ends.succeeded
+                }
+                figures::End::RefusedDeclined | figures::End::RefusedFull | figures::End::RefusedStopping => {
+                    &mut ends.declined
+                }
+                figures::End::FailedGivenUp | figures::End::FailedOverdue => &mut ends.aborted,
+                figures::End::Left => &mut ends.left,
+            } += 1;
+        }
+    }
+
     fn note(&mut self, seen: Seen, end: figures::End, took: Duration) {
+        self.count(seen.class, end);
         if let Some(figures) = &mut self.figures {
             figures.ended(seen, end, took);
         }
@@ -542,9 +569,36 @@
     pub fn refuse_stopping(&mut self, class: ClassId, tenant: Option<TenantId>) {
         self.counters.refused_stopping += 1;
         let seen = Seen { class: class.0, tenant: tenant.map(|tenant| tenant.0) };
+        self.came(seen.class);
         self.note(seen, figures::End::RefusedStopping, Duration::ZERO);
     }
 
+    /// A query came for which there was no firm place; it was turned away unread.
+    pub fn refuse_crowded(&mut self, class: ClassId) {
+        self.came(class.0);
+        self.count(class.0, figures::End::RefusedFull);
+    }
+
+    /// How the queries of each class ended, in the order of the contracts.
+    pub fn ends(&self) -> &[Ends] {
+        &self.ends
+    }
+
+    /// Servers in the list.
+    pub fn listed(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// Listed servers that get nothing but trials.
+    pub fn avoided(&self) -> usize {
+        self.module.suspects().filter(|leaf| self.listed.contains(leaf)).count()
+    }
+
+    /// So many attempts have been written to their server, to the last byte.
+    pub fn written(&mut self, attempts: usize) {
+        self.counters.written += attempts as u64;
+    }
+
     /// Ends a query here; `None` if it has ended before. Its parts go with it.
     fn close(&mut self, id: RequestId) -> Option<(Held, Vec<HeldPart>)> {
         let query = self.queries.remove(&id)?;
--- a/src/routing/counters.rs
+++ b/src/routing/counters.rs
@@ -44,6 +44,8 @@
     sent,
     /// Attempts beyond a part's first, of these.
     resent,
+    /// Attempts of which the last byte was written.
+    written,
     /// Attempts that ended with a value.
     ended_done,
     /// Attempts that ended with an error.
@@ -64,6 +66,28 @@
     listings,
 }
 
+/// The queries of one class: all that came, and how they ended. What is in none of the ends is open.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ends {
+    /// Queries offered, and those refused before they could be.
+    pub came: u64,
+    /// Answered, whole or in part.
+    pub succeeded: u64,
+    /// Refused.
+    pub declined: u64,
+    /// Failed.
+    pub aborted: u64,
+    /// Left by their clients.
+    pub left: u64,
+}
+
+impl Ends {
+    /// Those that have not ended.
+    pub fn open(&self) -> u64 {
+        self.came - self.succeeded - self.declined - self.aborted - self.left
+    }
+}
+
 impl Counters {
     /// Counts the end of an attempt.
     pub fn ended(&mut self, outcome: Outcome) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
+mod learned;
+
 /// Share of a key's work that its home is expected to save (DESIGN's P; its default).
 const HIT: f64 = 0.5;
 /// Multiplier step a second (DESIGN's beta; left open there). One second of a full gap in utilization moves a
--- a/src/transport/gate.rs
+++ b/src/transport/gate.rs
@@ -4,6 +4,8 @@
 use super::places::{Buffered, Place, Places};
 use crate::limits::crowd::{Record, Source, Why};
 use crate::limits::{Crowd, Denied, Scarcity, Side};
+use crate::service::stage::{Call, Refused};
+use crate::service::{Stage, Stages};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -15,17 +17,6 @@
 /// Time between two lines of the log about who was made to leave.
 const TELL: Duration = Duration::from_secs(5);
 
-/// Where the process is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// It serves.
-    Serving,
-    /// It is no longer healthy, but serves who still comes, on the connections that clients have too.
-    Stopping,
-    /// It takes nothing new, closes idle connections, and others behind their answers.
-    Closing,
-}
-
 /// The connections of one process, and how they are told to end.
 pub struct Gate {
     places: Rc<Places>,
@@ -33,7 +24,8 @@
     signals: RefCell<HashMap<u64, Rc<Signal>>>,
     /// A connection has become one that may be made to leave.
     loosened: Notify,
-    phase: watch::Sender<Phase>,
+    stages: RefCell<Stages>,
+    stage: watch::Sender<Stage>,
 }
 
 #[derive(Default)]
@@ -43,23 +35,46 @@
 }
 
 impl Gate {
-    /// A gate to these places.
-    pub fn new(places: Rc<Places>) -> Rc<Gate> {
+    /// A gate to these places, of a process whose longest deadline is this.
+    pub fn new(places: Rc<Places>, longest: Duration) -> Rc<Gate> {
+        let stages = Stages::new(places.now(), longest);
         Rc::new(Gate {
             places,
             crowd: RefCell::default(),
             signals: RefCell::default(),
             loosened: Notify::new(),
-            phase: watch::Sender::new(Phase::Serving),
+            stage: watch::Sender::new(stages.stage()),
+            stages: RefCell::new(stages),
         })
     }
     /// Where the process is.
-    pub fn phase(&self) -> Phase {
-        *self.phase.borrow()
+    pub fn stage(&self) -> Stage {
+        *self.stage.borrow()
+    }
+    /// Moves the process on, or tells why not.
+    pub fn call(&self, call: Call) -> Result<(), Refused> {
+        let done = self.stages.borrow_mut().call(self.places.now(), call);
+        self.tell_stage();
+        done
     }
-    /// Moves the process on.
-    pub fn enter(&self, phase: Phase) {
-        self.phase.send_replace(phase);
+    fn tell_stage(&self) {
+        let stage = self.stages.borrow().stage();
+        self.stage.send_if_modified(|told| std::mem::replace(told, stage) != stage);
+    }
+    /// Lets time lead from stage to stage, for as long as the process lives.
+    pub async fn age(&self) {
+        let mut stage = self.stage.subscribe();
+        loop {
+            let due = self.stages.borrow().due();
+            tokio::select! {
+                // The sender lives as long as the gate, so waiting cannot fail.
+                _ = stage.changed() => {}
+                () = tokio::time::sleep_until(self.places.moment(due.unwrap_or_default())), if due.is_some() => {
+                    self.stages.borrow_mut().pass(self.places.now());
+                    self.tell_stage();
+                }
+            }
+        }
     }
     /// The places that it gives out.
     pub fn places(&self) -> &Rc<Places> {
@@ -69,11 +84,18 @@
     pub fn open(&self) -> usize {
         self.crowd.borrow().len()
     }
-    /// Waits for the phase in which nothing new is taken.
+    /// Waits for the stage in which nothing new is taken.
     pub async fn closing(&self) {
-        let mut phase = self.phase.subscribe();
+        self.reaches(|stage| !stage.takes()).await;
+    }
+    /// Waits until connections are to end as soon as nothing is open on them.
+    pub async fn parting(&self) {
+        self.reaches(Stage::parts).await;
+    }
+    async fn reaches(&self, there: impl Fn(Stage) -> bool) {
+        let mut stage = self.stage.subscribe();
         // The sender lives as long as the gate, so waiting cannot fail.
-        let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+        let _ = stage.wait_for(|stage| there(*stage)).await;
     }
 
     /// How scarce places are for clients. Their own level comes first: what clients may hold at their end is less
--- a/src/transport/index_servers.rs
+++ b/src/transport/index_servers.rs
@@ -122,7 +122,11 @@
         let mut buffer = BytesMut::new();
         let bytes = Buffered::new(&self.0.places);
         bytes.set(request.len());
-        match client::exchange(&mut *stream, &mut buffer, &request, MOST_RESULT).await {
+        let exchanged = client::exchange(&mut *stream, &mut buffer, &request, MOST_RESULT).await;
+        if !matches!(exchanged, Err(Broken::Unsent(_))) {
+            self.0.broker.core(|core| core.written(1));
+        }
+        match exchanged {
             Ok(response) => {
                 if response.keep_alive && buffer.is_empty() {
                     place.unpin();
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -1,6 +1,6 @@
 //! Clients' connections: accepts them, reads requests, writes each its one response.
 
-use super::gate::{Gate, Pass, Phase};
+use super::gate::{Gate, Pass};
 use super::stream::Stream;
 use crate::limits::crowd::{Record, Source, Why};
 use crate::limits::{Side, Turnstile};
@@ -35,8 +35,8 @@
     fn respond(&self, request: Request) -> impl Future<Output = Response>;
     /// The response to bytes that are no request.
     fn malformed(&self, error: http::Malformed) -> Response;
-    /// The refusal of a request for which there is no place; it has not run.
-    fn crowded(&self) -> Response;
+    /// The refusal of a request for which there is no place, where one is known; it has not run.
+    fn crowded(&self, request: Option<&Request>) -> Response;
     /// Whom a request says it comes from, where the form has a way to say so.
     fn caller<'a>(&self, request: &'a Request) -> Option<&'a str>;
 }
@@ -102,7 +102,7 @@
                     let front = front.clone();
                     tokio::task::spawn_local(async move { serve(stream, from, &*front, pass).await });
                 }
-                None => turn_away(stream, &front.crowded(), &gate).await,
+                None => turn_away(stream, &front.crowded(None), &gate).await,
             },
             Err(error) => {
                 gate.places().tally.borrow_mut().accept_failed += 1;
@@ -115,7 +115,7 @@
             }
         }
         if let Some(pause) = turnstile.passed(begun, gate.places().now()) {
-            if gate.phase() == Phase::Closing {
+            if !gate.stage().takes() {
                 return;
             }
             tokio::time::sleep(pause).await;
@@ -146,9 +146,9 @@
 /// The life of one connection.
 pub async fn serve<F: Front>(stream: impl Stream, from: SocketAddr, front: &F, pass: Pass) {
     let (mut read, mut write) = tokio::io::split(stream);
-    let mut buffer = BytesMut::new();
+    let (mut buffer, mut answers) = (BytesMut::new(), 0_u64);
     loop {
-        let request = match next(&mut read, &mut write, &mut buffer, front, &pass).await {
+        let request = match next(&mut read, &mut write, &mut buffer, front, &pass, answers).await {
             Next::Request(request) => request,
             Next::Last(bytes) => return last(&mut read, &mut write, &bytes, pass.gate()).await,
             Next::End => return,
@@ -157,7 +157,8 @@
             pass.belongs(source(from, Some(caller)));
         }
         if !pass.opened() {
-            return last(&mut read, &mut write, &front.crowded().encode(true), pass.gate()).await;
+            return last(&mut read, &mut write, &front.crowded(Some(&request)).encode(true), pass.gate())
+                .await;
         }
         let (keep_alive, bodiless, body) = (request.keep_alive, request.method == "HEAD", request.body.len());
         let response = tokio::select! {
@@ -165,7 +166,7 @@
             response = front.respond(request) => response,
             () = gone(&mut read, &mut buffer, &pass, body) => return,
         };
-        let close = !keep_alive || pass.gate().phase() == Phase::Closing;
+        let close = !keep_alive || pass.gate().stage().parts();
         let mut bytes = response.encode(close);
         if bodiless {
             bytes.truncate(bytes.len() - response.body.len());
@@ -181,6 +182,7 @@
             }
             return;
         }
+        answers += 1;
         pass.answered(match response.status {
             400 | 405 | 411..=414 | 431 | 501 => Record::Rubbish,
             _ => Record::Sound,
@@ -195,6 +197,7 @@
     buffer: &mut BytesMut,
     front: &F,
     pass: &Pass,
+    answers: u64,
 ) -> Next {
     let mut told = false;
     if !buffer.is_empty() {
@@ -238,7 +241,15 @@
                     return Next::End;
                 }
             }
-            () = pass.gate().closing(), if buffer.is_empty() => return Next::End,
+            // Guards a newcomer who reaches a drained process: it still gets the answer to its first request.
+            () = pass.gate().parting(),
+                if buffer.is_empty() && (answers > 0 || !pass.gate().stage().takes()) =>
+            {
+                buffer.reserve(READ);
+                if !leave(read, write, buffer, pass).await {
+                    return Next::End;
+                }
+            }
         }
     }
 }
@@ -308,7 +319,7 @@
 
 /// Reads on for a moment after the last response: closing with unread bytes would reset the connection and
 /// could take that response with it.
-async fn drain(read: &mut (impl AsyncRead + Unpin), longest: Duration) {
+pub(super) async fn drain(read: &mut (impl AsyncRead + Unpin), longest: Duration) {
     let mut scrap = [0; READ];
     let rest = async {
         for _ in 0..MOST_AHEAD / READ {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
-//! Sockets: clients' connections, connections to workers, the discovery watch. Nothing here decides.
+//! Sockets: clients' connections, connections to workers, the discovery watch, operators' calls. Nothing here decides.
 
 pub mod client;
+pub mod desk;
 pub mod gate;
 pub mod index_servers;
 pub mod listener;
--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -145,22 +145,25 @@
         self.frames.borrow().front().map(|frame| frame.rest.clone())
     }
 
-    /// Books that so many bytes of the front frame are written.
-    fn wrote(&self, count: usize) {
+    /// Books that so many bytes of the front frame are written; how many parts have been written whole by that.
+    fn wrote(&self, count: usize) -> usize {
         let mut frames = self.frames.borrow_mut();
-        let Some(frame) = frames.front_mut() else { return };
+        let Some(frame) = frames.front_mut() else { return 0 };
         frame.rest.advance(count);
         frame.begun |= count > 0;
         if frame.rest.is_empty()
             && let Some(frame) = frames.pop_front()
         {
             let mut calls = self.calls.borrow_mut();
+            let parts = frame.ids.len();
             for id in frame.ids {
                 if let Some(call) = calls.get_mut(&id) {
                     call.written = Some(Instant::now());
                 }
             }
+            return parts;
         }
+        0
     }
 
     /// Lets go of an attempt; false if it is not on this line. A call of which no byte is written stays here,
@@ -368,7 +371,10 @@
                 },
                 count = write.write(front.as_deref().unwrap_or_default()), if front.is_some() => match count {
                     Ok(0) => return Cut::Closed("closed by the worker".to_owned()),
-                    Ok(count) => line.wrote(count),
+                    Ok(count) => {
+                        let parts = line.wrote(count);
+                        self.0.broker.core(|core| core.written(parts));
+                    }
                     Err(error) => return Cut::Closed(error.to_string()),
                 },
                 () = line.news.notified() => {}
--- /dev/null
+++ b/tests/common/process.rs
@@ -0,0 +1,288 @@
+//! Real processes of the program on loopback, with stand-ins for workers, discovery, clients and operators. Waits are
+//! for events: a line of the log, an answer, a count.
+
+use bytes::BytesMut;
+use clayshore::protocol::http::{self, Incoming};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+
+/// A worker that serves every part, and remembers how often each came.
+pub struct Worker {
+    pub address: String,
+    pub came: Arc<Mutex<HashMap<String, usize>>>,
+    /// While it is held, no part is answered.
+    pub held: Arc<(Mutex<bool>, Condvar)>,
+}
+
+impl Worker {
+    pub fn start() -> Worker {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let worker = Worker { address, came: Arc::default(), held: Arc::default() };
+        let (came, held) = (worker.came.clone(), worker.held.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (came, held) = (came.clone(), held.clone());
+                thread::spawn(move || frames(stream.expect("a connection"), &came, &held));
+            }
+        });
+        worker
+    }
+    pub fn hold(&self, held: bool) {
+        *self.held.0.lock().expect("sound") = held;
+        self.held.1.notify_all();
+    }
+    /// Parts that came.
+    pub fn parts(&self) -> usize {
+        self.came.lock().expect("sound").values().sum()
+    }
+    /// The most often that any part came.
+    pub fn most(&self) -> usize {
+        self.came.lock().expect("sound").values().copied().max().unwrap_or(0)
+    }
+}
+
+fn frames(
+    mut stream: TcpStream,
+    came: &Mutex<HashMap<String, usize>>,
+    held: &(Mutex<bool>, Condvar),
+) -> Option<()> {
+    loop {
+        let mut length = [0; 4];
+        stream.read_exact(&mut length).ok()?;
+        let mut rest = vec![0; u32::from_le_bytes(length) as usize];
+        stream.read_exact(&mut rest).ok()?;
+        let text = String::from_utf8(rest).expect("text");
+        if !text.starts_with('m') {
+            continue;
+        }
+        let id = text[1..].split(' ').next().expect("an id").to_owned();
+        *came.lock().expect("sound").entry(id.clone()).or_default() += 1;
+        let waiting = held.0.lock().expect("sound");
+        drop(held.1.wait_while(waiting, |held| *held).expect("sound"));
+        let answer = format!("q{id} good 5 util=0.1,queue=0\n5be2");
+        let mut bytes = (answer.len() as u32).to_le_bytes().to_vec();
+        bytes.extend_from_slice(answer.as_bytes());
+        stream.write_all(&bytes).ok()?;
+    }
+}
+
+type Told = Arc<(Mutex<(u64, String)>, Condvar)>;
+
+/// Discovery: tells its whole list to whoever asks, and again whenever it changes.
+pub struct Discovery {
+    pub address: String,
+    told: Told,
+}
+
+impl Discovery {
+    pub fn start(members: &str) -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let told: Told = Arc::new((Mutex::new((1, members.to_owned())), Condvar::new()));
+        let discovery = Discovery { address, told: told.clone() };
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let told = told.clone();
+                thread::spawn(move || watches(stream.expect("a connection"), &told));
+            }
+        });
+        discovery
+    }
+    /// Replaces the list; every watch is told.
+    pub fn tell(&self, members: &str) {
+        let mut told = self.told.0.lock().expect("sound");
+        *told = (told.0 + 1, members.to_owned());
+        self.told.1.notify_all();
+    }
+    /// The list as JSON.
+    pub fn list(&self) -> String {
+        list(&self.told.0.lock().expect("sound"))
+    }
+}
+
+fn list((revision, members): &(u64, String)) -> String {
+    format!(r#"{{"revision":{revision},"complete":true,"members":[{members}]}}"#)
+}
+
+fn watches(mut stream: TcpStream, told: &(Mutex<(u64, String)>, Condvar)) -> Option<()> {
+    let mut buffer = BytesMut::new();
+    loop {
+        let request = loop {
+            match http::take_request(&mut buffer).expect("a request") {
+                Some(request) => break request,
+                None => fill(&mut stream, &mut buffer).ok()?,
+            }
+        };
+        let after = request.parameter("index").map(|index| index.parse::<u64>().expect("a number"));
+        let now = told.0.lock().expect("sound");
+        let now = told.1.wait_while(now, |now| Some(now.0) == after).expect("sound");
+        let bytes = http::Response::json(200, list(&now)).encode(false);
+        drop(now);
+        stream.write_all(&bytes).ok()?;
+    }
+}
+
+/// One member of a list.
+pub fn member(id: &str, address: &str) -> String {
+    format!(r#"{{"id":"{id}","host_port":"{address}","cell":0,"phase":"SERVING"}}"#)
+}
+
+fn fill(stream: &mut TcpStream, buffer: &mut BytesMut) -> std::io::Result<()> {
+    let mut bytes = [0; 4096];
+    match stream.read(&mut bytes)? {
+        0 => Err(std::io::ErrorKind::UnexpectedEof.into()),
+        count => {
+            buffer.extend_from_slice(&bytes[..count]);
+            Ok(())
+        }
+    }
+}
+
+/// The response to what was asked on this connection; an error where it ended without one.
+pub fn response(stream: &mut TcpStream) -> std::io::Result<Incoming> {
+    let mut buffer = BytesMut::new();
+    loop {
+        if let Some(response) = http::take_response(&mut buffer, http::MOST_BODY).expect("a response") {
+            return Ok(response);
+        }
+        fill(stream, &mut buffer)?;
+    }
+}
+
+/// Asks for one part of shard 0 on this connection.
+pub fn query(stream: &mut TcpStream, id: &str, class: &str) -> std::io::Result<()> {
+    let body = r#"{"ranges":[{"range":0,"portion":1.0}],"predicate":"c41e"}"#;
+    let head = format!(
+        "POST /api HTTP/1.1\r\nX-Call-Id: {id}\r\nX-Call-Class: {class}\r\nX-Caller: bank\r\nX-Budget-Ms: 5000\r\n"
+    );
+    stream.write_all(format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).as_bytes())
+}
+
+/// An operator's call: its status and text.
+pub fn operate(address: &str, method: &str, path: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(address).expect("connected");
+    stream.write_all(&http::request(method, path, "x", None)).expect("written");
+    let answer = response(&mut stream).expect("an answer");
+    (answer.status, String::from_utf8(answer.body.to_vec()).expect("text"))
+}
+
+/// The value of a figure.
+pub fn figure(address: &str, name: &str) -> u64 {
+    let (_, text) = operate(address, "GET", "/-/metrics");
+    let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':'));
+    let value = line.unwrap_or_else(|| panic!("no {name} in {text}")).split('|').next().expect("a value");
+    value.parse().expect("a number")
+}
+
+/// A folder of a test's own, removed at its end.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("clayshore-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A process of the program.
+pub struct Gatherer {
+    pub child: Child,
+    pub clients: String,
+    pub operators: String,
+    /// All lines of its log so far, and a sign for each further one.
+    pub log: Arc<(Mutex<Vec<String>>, Condvar)>,
+}
+
+impl Gatherer {
+    /// Starts the platform's front; what is not in `config` is as in the scenarios.
+    pub fn start(folder: &Folder, config: &serde_json::Value) -> Gatherer {
+        let gatherer = Gatherer::begin(folder, config);
+        gatherer.logged(" serving on ");
+        gatherer
+    }
+
+    /// The same, without waiting until it serves.
+    pub fn begin(folder: &Folder, config: &serde_json::Value) -> Gatherer {
+        let file = folder.0.join(format!("config-{}.json", fastrand::u64(..)));
+        std::fs::write(&file, config.to_string()).expect("written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_clayshore"));
+        command.env_clear().env("LB_CONFIG", &file).env("TMPDIR", &folder.0).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the program starts");
+        let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let log: Arc<(Mutex<Vec<String>>, Condvar)> = Arc::default();
+        let keep = log.clone();
+        thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                keep.0.lock().expect("sound").push(line);
+                keep.1.notify_all();
+            }
+            keep.0.lock().expect("sound").push("the log ends".to_owned());
+            keep.1.notify_all();
+        });
+        let clients = config["listen"].as_str().expect("an address").to_owned();
+        let operators = config["operator"].as_str().expect("an address").to_owned();
+        Gatherer { child, clients, operators, log }
+    }
+
+    /// Waits for a line of the log that holds these words.
+    pub fn logged(&self, words: &str) -> String {
+        let lines = self.log.0.lock().expect("sound");
+        let there = |lines: &Vec<String>| lines.iter().any(|line| line.contains(words));
+        let over = |lines: &Vec<String>| lines.last().is_some_and(|line| line == "the log ends");
+        let lines = self.log.1.wait_while(lines, |lines| !there(lines) && !over(lines)).expect("sound");
+        let found = lines.iter().find(|line| line.contains(words)).cloned();
+        found.unwrap_or_else(|| panic!("no {words:?} in {lines:#?}"))
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill =
+            Command::new("kill").args([name, &self.child.id().to_string()]).status().expect("kill runs");
+        assert!(kill.success());
+    }
+
+    /// Waits for its end; whether that was a good one.
+    pub fn ended(&mut self) -> bool {
+        self.child.wait().expect("it ends").success()
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        TcpStream::connect(&self.clients).expect("connected")
+    }
+}
+
+impl Drop for Gatherer {
+    fn drop(&mut self) {
+        // Also where the test fails: no process outlives it.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A port that was free a moment ago, for addresses that two processes have to share.
+pub fn free() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address").to_string()
+}
+
+/// A configuration with addresses of its own.
+pub fn config(discovery: &Discovery) -> serde_json::Value {
+    let mut config: serde_json::Value =
+        serde_json::from_str(include_str!("../scenario/platform.json")).expect("JSON");
+    config["discovery"] = discovery.address.clone().into();
+    config["known"] = serde_json::from_str(&discovery.list()).expect("JSON");
+    (config["listen"], config["operator"]) = (free().into(), free().into());
+    config
+}
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -38,7 +38,7 @@
         limit in 64usize..600,
         steps in prop::collection::vec((0usize..4, 0u8..5), 0..600),
     ) {
-        let mut all = Descriptors::new(Plan::new(limit, 16).expect("enough"));
+        let mut all = Descriptors::new(Plan::new(limit, 16, 0).expect("enough"));
         for (at, what) in steps {
             let side = SIDES[at];
             match what {
@@ -64,7 +64,7 @@
         limit in 64usize..400,
         steps in prop::collection::vec((0usize..4, 0u8..4), 0..900),
     ) {
-        let mut all = Descriptors::new(Plan::new(limit, 16).expect("enough"));
+        let mut all = Descriptors::new(Plan::new(limit, 16, 0).expect("enough"));
         for (at, what) in steps {
             let side = SIDES[at];
             if what == 0 { all.pin(side); } else { take(&mut all, side); }
--- a/tests/listener.rs
+++ b/tests/listener.rs
@@ -2,7 +2,8 @@
 
 use clayshore::limits::{Plan, Side};
 use clayshore::protocol::http::{Malformed, Request, Response};
-use clayshore::transport::gate::{Gate, Phase};
+use clayshore::service::stage::Call;
+use clayshore::transport::gate::Gate;
 use clayshore::transport::listener::{Accept, Accepting, Front, accept};
 use clayshore::transport::places::{Place, Places};
 use std::cell::Cell;
@@ -30,7 +31,7 @@
     fn malformed(&self, error: Malformed) -> Response {
         Response::text(error.status(), error.to_string())
     }
-    fn crowded(&self) -> Response {
+    fn crowded(&self, _: Option<&Request>) -> Response {
         Response::text(503, "crowded").with("Retry-After", "1")
     }
     fn caller<'a>(&self, request: &'a Request) -> Option<&'a str> {
@@ -70,8 +71,8 @@
     async fn with_memory(descriptors: usize, failures: u32, bytes: usize) -> House {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let places = Places::new(Plan::new(descriptors, 16).expect("enough"), bytes);
-        let (gate, held) = (Gate::new(places), Rc::new(Semaphore::new(0)));
+        let places = Places::new(Plan::new(descriptors, 16, 0).expect("enough"), bytes);
+        let (gate, held) = (Gate::new(places, Duration::ZERO), Rc::new(Semaphore::new(0)));
         let front = Rc::new(Echo(held.clone()));
         let accepting = if failures > 0 {
             spawn_local(accept(Short(listener, Cell::new(failures)), front, gate.clone()))
@@ -80,6 +81,8 @@
         };
         let tended = gate.clone();
         spawn_local(async move { tended.tend().await });
+        let aged = gate.clone();
+        spawn_local(async move { aged.age().await });
         House { gate, address, held, accepting }
     }
     fn free(&self) -> usize {
@@ -180,15 +183,15 @@
     assert!(tally.gave_way > 0 && tally.made_to_leave() > 0, "{tally}");
     assert_eq!((tally.turned_away, tally.unpinned), (0, 0), "{tally}");
     assert_eq!(tally.accept_failed > 0, failures > 0, "{tally}");
-    // At SIGTERM usual clients still have their answers, and the end comes in spite of the crowd.
-    house.gate.enter(Phase::Stopping);
-    assert!(usual(house.address, &mut clients[0]).await.starts_with("HTTP/1.1 200 OK\r\n"));
     let mut last = house.client().await;
     say(&mut last, "/held").await;
     while house.gate.places().descriptors(|all| all.firm(Side::Clients)) == 0 {
         tokio::task::yield_now().await;
     }
-    house.gate.enter(Phase::Closing);
+    // At SIGTERM usual clients still have their answers, and the end comes in spite of the crowd.
+    house.gate.call(Call::Stop).expect("taken");
+    assert!(usual(house.address, &mut clients[0]).await.starts_with("HTTP/1.1 200 OK\r\n"));
+    house.gate.closing().await;
     house.held.add_permits(1);
     assert!(hear(&mut last, "/held").await.contains("Connection: close\r\n"));
     crowd.iter().for_each(JoinHandle::abort);
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,87 @@
+//! Operators' calls to a real process: ready, figures, drain and resume, whoever else holds the listener.
+
+mod common;
+
+use common::process::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+#[test]
+fn staff_are_answered_while_silent_callers_hold_connections() {
+    let worker = Worker::start();
+    let discovery = Discovery::start(&member("w1", &worker.address));
+    let folder = Folder::new("operators");
+    let gatherer = Gatherer::start(&folder, &config(&discovery));
+    let at = &gatherer.operators;
+    // Guards against callers who finish no call: many times as many as may be in at once, silent or in mid-call.
+    let mut silent: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(at).expect("connected")).collect();
+    silent.iter_mut().step_by(2).for_each(|caller| caller.write_all(b"GET /-/rea").expect("written"));
+    assert_eq!(operate(at, "GET", "/-/ready"), (200, "ready\n".to_owned()));
+    for (method, path, status) in [
+        ("POST", "/-/drain", 405),
+        ("PUT", "/-/metrics", 405),
+        ("GET", "/-/drains", 404),
+        ("PUT", "/api", 404),
+    ] {
+        let (answered, text) = operate(at, method, path);
+        assert_eq!((answered, text.lines().count()), (status, 1), "{method} {path}");
+    }
+    let mut rubbish = TcpStream::connect(at).expect("connected");
+    rubbish.write_all(b"\x00\x01 nothing\r\n\r\n").expect("written");
+    assert_eq!(response(&mut rubbish).expect("an answer").status, 400);
+    // One call to a connection.
+    let mut end = Vec::new();
+    assert_eq!(rubbish.read_to_end(&mut end).expect("the end"), 0);
+
+    let mut client = gatherer.connect();
+    for id in ["a1", "a2", "a3"] {
+        query(&mut client, id, if id == "a3" { "seal" } else { "search" }).expect("written");
+        assert_eq!(response(&mut client).expect("an answer").status, 200);
+    }
+    worker.hold(true);
+    query(&mut client, "a4", "search").expect("written");
+    while figure(at, "gatherer.forwards") < 4 {}
+    let figures = [
+        ("succeeded.search", 2),
+        ("succeeded.seal", 1),
+        ("declined.search", 0),
+        ("aborted.seal", 0),
+        ("outstanding", 1),
+        ("discovered", 1),
+        ("ejected", 0),
+    ];
+    for (name, value) in figures {
+        assert_eq!(figure(at, &format!("gatherer.{name}")), value, "{name}");
+    }
+
+    // Told to drain: unhealthy at once, what is taken is answered, and its connection ends behind the answer.
+    assert_eq!(operate(at, "PUT", "/-/drain").0, 200);
+    assert_eq!(operate(at, "PUT", "/-/drain").0, 200);
+    assert_eq!(operate(at, "GET", "/-/ready"), (503, "drained\n".to_owned()));
+    let mut idle = gatherer.connect();
+    idle.write_all(b"GET /_health HTTP/1.1\r\n\r\n").expect("written");
+    assert_eq!(response(&mut idle).expect("an answer").status, 503);
+    assert_eq!(idle.read(&mut [0]).expect("the end"), 0, "an idle connection is closed once drained");
+    worker.hold(false);
+    assert_eq!(response(&mut client).expect("an answer").status, 200);
+    assert_eq!(client.read(&mut [0]).expect("the end"), 0);
+    assert_eq!(operate(at, "PUT", "/-/resume").0, 200);
+    let mut again = gatherer.connect();
+    again.write_all(b"GET /_health HTTP/1.1\r\n\r\n").expect("written");
+    assert_eq!(response(&mut again).expect("an answer").status, 200);
+    assert_eq!(figure(at, "gatherer.succeeded.search"), 3);
+
+    // SIGTERM during a drain ends the process, and no call leads back.
+    assert_eq!(operate(at, "PUT", "/-/drain").0, 200);
+    worker.hold(true);
+    let mut last = gatherer.connect();
+    query(&mut last, "a5", "search").expect("written");
+    while figure(at, "gatherer.outstanding") < 1 {}
+    gatherer.signal("-TERM");
+    gatherer.logged("stopping: ");
+    assert_eq!(operate(at, "PUT", "/-/resume").0, 409);
+    worker.hold(false);
+    assert_eq!(response(&mut last).expect("an answer").status, 200);
+    let mut gatherer = gatherer;
+    assert!(gatherer.ended());
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -3,15 +3,16 @@
 
 use bytes::{BufMut, BytesMut};
 use clayshore::api::{Status, Time};
+use clayshore::fronts::opensearch::OpenSearch;
+use clayshore::fronts::platform::Platform;
 use clayshore::limits::crowd::Source;
 use clayshore::limits::{Backoff, Plan};
 use clayshore::program::config::Config;
-use clayshore::program::opensearch::OpenSearch;
 use clayshore::program::opensearch_file::FrontFile;
-use clayshore::program::platform::Platform;
 use clayshore::protocol::http;
 use clayshore::routing::{Broker, Carrier, Clock, Contracts, Core, Listing, Member};
-use clayshore::transport::gate::{Gate, Phase};
+use clayshore::service::stage::Call;
+use clayshore::transport::gate::Gate;
 use clayshore::transport::index_servers::IndexServers;
 use clayshore::transport::listener::{self, Front};
 use clayshore::transport::places::Places;
@@ -166,8 +167,9 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), async {
         let (first, rest) = script.split_once('\n').expect("a first line");
-        let places = Places::new(Plan::new(256, 16).expect("enough"), 1 << 20);
-        let (clock, gate, pipes) = (Clock::at(UNIX), Gate::new(places.clone()), Pipes::default());
+        let places = Places::new(Plan::new(256, 16, 0).expect("enough"), 1 << 20);
+        let (clock, gate, pipes) =
+            (Clock::at(UNIX), Gate::new(places.clone(), Duration::from_secs(6)), Pipes::default());
         let agent = tokio::sync::watch::Sender::new("agent".to_owned());
         match first {
             "front platform" | "front platform watching agent" => {
@@ -223,6 +225,8 @@
     spawn_local(async move { driver.drive(&carrier).await });
     let tended = gate.clone();
     spawn_local(async move { tended.tend().await });
+    let aged = gate.clone();
+    spawn_local(async move { aged.age().await });
     let (start, front) = (Instant::now(), Rc::new(front));
     let (transcript, seen) = (String::new(), String::new());
     let mut play = Play { pipes, start, transcript, seen, broker, gate, agent };
@@ -309,7 +313,11 @@
             return;
         }
         if who == "SIGTERM" {
-            return self.gate.enter(if what.is_empty() { Phase::Stopping } else { Phase::Closing });
+            return self.gate.call(Call::Stop).expect("taken");
+        }
+        if who == "operator" {
+            let call = if what == "drain" { Call::Drain } else { Call::Resume };
+            return self.gate.call(call).expect("taken");
         }
         // `NAME.N` speaks on the party's Nth connection, `NAME` on the one that is next.
         let (who, number) = who.split_once('.').map_or((who, None), |(who, at)| (who, at.parse().ok()));
--- a/tests/workers.rs
+++ b/tests/workers.rs
@@ -61,7 +61,7 @@
         json["settings"]["domain"]["slices"] = SHARDS.into();
         json["settings"]["allowed"]["max-open"] = 1000.into();
         let config = Config::from_json(&json, |_| None).expect("a configuration");
-        let places = Places::new(Plan::new(64, 16).expect("enough"), 1 << 20);
+        let places = Places::new(Plan::new(64, 16, 0).expect("enough"), 1 << 20);
         let broker = Broker::new(Core::new(config.contracts), Clock::at(Time(1 << 60)));
         broker.learn(&config.known.expect("a list"), true);
         let dial = Rc::new(Answering(Duration::from_millis(time)));
