Take workers out by hand: a ban beside the list that only the call back undoes

Unknown ids get 404 and change nothing. Tests: a property test of lists, restarts and calls in any order; the share of a worker that is back; a real process.

--- a/src/fronts/operators.rs
+++ b/src/fronts/operators.rs
@@ -8,6 +8,7 @@
 use crate::transport::desk::Desk;
 use crate::transport::gate::Gate;
 use bytes::Bytes;
+use percent_encoding::percent_decode_str;
 use std::rc::Rc;
 
 /// Answers operators' calls.
@@ -43,6 +44,18 @@
         Response { body: Bytes::from(lines.text()), ..Response::text(200, "") }
     }
 
+    /// Takes a worker out or back; its id is what stands in the path, with each `%` sign's two digits read.
+    fn worker(&self, id: &str, out: bool) -> Response {
+        let Ok(id) = percent_decode_str(id).decode_utf8() else {
+            return Response::text(400, "the worker's id is no text");
+        };
+        match self.broker.by_hand(&id, out) {
+            true if out => Response::text(200, format!("{id} is out")),
+            true => Response::text(200, format!("{id} is in use")),
+            false => Response::text(404, format!("no worker of the id {id:?} was ever listed")),
+        }
+    }
+
     fn call(&self, call: Call) -> Response {
         match self.gate.call(call) {
             Ok(()) => Response::text(200, self.gate.stage().name()),
@@ -57,6 +70,14 @@
 
 impl Desk for Operators {
     fn answer(&self, request: &Request) -> Response {
+        let worker = request.path.strip_prefix("/-/workers/").and_then(|rest| rest.rsplit_once('/'));
+        let worker = worker.filter(|(_, call)| matches!(*call, "disable" | "enable"));
+        if let Some((id, call)) = worker {
+            return match request.method.as_str() {
+                "PUT" => self.worker(id, call == "disable"),
+                _ => only("PUT"),
+            };
+        }
         match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/-/ready") => self.ready(),
             ("GET", "/-/metrics") => self.figures(),
--- a/src/routing/broker.rs
+++ b/src/routing/broker.rs
@@ -114,6 +114,14 @@
         self.0.news.notify_one();
     }
 
+    /// An operator takes a server out by hand, or back; false if no list ever named it.
+    pub fn by_hand(&self, server: &str, out: bool) -> bool {
+        let now = self.0.clock.now();
+        let known = self.core(|core| if out { core.disable(server) } else { core.enable(now, server) });
+        self.0.news.notify_one();
+        known
+    }
+
     /// Runs turns for as long as the process lives. Whatever tasks report while one is due goes into it together.
     pub async fn drive(&self, carrier: &dyn Carrier) {
         loop {
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -2,11 +2,12 @@
 
 use super::contracts::Contracts;
 use super::counters::{Counters, Ends};
-use super::roster::{Listing, Roster};
+use super::roster::{Listing, Member, Roster};
 use crate::Aggregator;
 use crate::api::*;
 use crate::records::figures::{self, Figures, Seen};
 use crate::records::line::{Body, WorkerState};
+use crate::service::Bans;
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -214,7 +215,9 @@
     parts: HashMap<RequestId, HeldPart>,
     flights: BTreeMap<Ticket, Flight>,
     roster: Roster,
-    listed: HashSet<LeafId>,
+    /// The list as discovery tells it, and who is out by hand whatever it says.
+    listed: HashMap<LeafId, Member>,
+    bans: Bans,
     next: u64,
     /// What it has counted so far.
     pub counters: Counters,
@@ -242,7 +245,8 @@
             parts: HashMap::new(),
             flights: BTreeMap::new(),
             roster: Roster::default(),
-            listed: HashSet::new(),
+            listed: HashMap::new(),
+            bans: Bans::default(),
             next: 1,
             counters: Counters::default(),
             figures: None,
@@ -357,34 +361,27 @@
         let mut named = HashSet::new();
         for member in &listing.members {
             let leaf = self.roster.id(&member.name);
-            let (zone, cell) = (self.contracts.zone(&member.zone), CellId(member.cell));
-            let (status, units, since) = (member.status, member.units, member.since);
-            entries.push(Entry { leaf, zone, cell, status, units, since });
             named.insert(leaf);
-            if status == Status::Gone {
+            if member.status == Status::Gone {
                 self.listed.remove(&leaf);
                 self.orders.push(Order::Gone { leaf });
-                continue;
+                entries.push(self.entry(leaf, member));
+            } else {
+                self.listed.insert(leaf, member.clone());
+                entries.push(self.list(leaf, member));
             }
-            self.listed.insert(leaf);
-            self.orders.push(Order::Member {
-                leaf,
-                name: member.name.clone(),
-                address: member.address.clone(),
-                open: status == Status::Active,
-            });
         }
         if listing.complete {
-            let gone: Vec<LeafId> = self.listed.difference(&named).copied().collect();
-            self.orders.extend(gone.into_iter().map(|leaf| Order::Gone { leaf }));
-            self.listed = entries.iter().filter(|e| e.status != Status::Gone).map(|e| e.leaf).collect();
+            let gone = self.listed.extract_if(|leaf, _| !named.contains(leaf));
+            self.orders.extend(gone.map(|(leaf, _)| Order::Gone { leaf }));
         }
         self.tell(now, listing, &entries);
         let known: Vec<LeafId> = self.roster.all().collect();
         if known.len() > MOST_NAMES {
             let busy: HashSet<LeafId> = self.flights.values().map(|flight| flight.leaf).collect();
-            let idle = |leaf: &LeafId| !self.listed.contains(leaf) && !busy.contains(leaf);
+            let idle = |leaf: &LeafId| !self.listed.contains_key(leaf) && !busy.contains(leaf);
             self.roster.forget(known.into_iter().filter(idle));
+            self.bans.forget(|name| self.roster.known(name).is_some());
         }
         self.inbox.push(Event::Membership(match (cached, listing.complete) {
             (true, _) => Membership::Cached(entries.into()),
@@ -393,6 +390,56 @@
         }));
     }
 
+    /// An entry as the module is told of it.
+    fn entry(&self, leaf: LeafId, member: &Member) -> Entry {
+        Entry {
+            leaf,
+            zone: self.contracts.zone(&member.zone),
+            cell: CellId(member.cell),
+            status: self.bans.status(&member.name, member.status),
+            units: member.units,
+            since: self.bans.since(&member.name, member.since),
+        }
+    }
+
+    /// Tells the transport of a listed server; its entry for the module.
+    fn list(&mut self, leaf: LeafId, member: &Member) -> Entry {
+        let entry = self.entry(leaf, member);
+        let (name, address) = (member.name.clone(), member.address.clone());
+        self.orders.push(Order::Member { leaf, name, address, open: entry.status == Status::Active });
+        entry
+    }
+
+    /// Takes a server out by hand until [`Core::enable`], whatever the list says meanwhile; false if no list ever named
+    /// it, and then nothing changes.
+    pub fn disable(&mut self, name: &str) -> bool {
+        self.by_hand(name, |bans| bans.disable(name))
+    }
+
+    /// Takes a server back that was taken out by hand; false if no list ever named it.
+    pub fn enable(&mut self, now: Time, name: &str) -> bool {
+        self.by_hand(name, |bans| bans.enable(now, name))
+    }
+
+    fn by_hand(&mut self, name: &str, change: impl FnOnce(&mut Bans) -> bool) -> bool {
+        let Some(leaf) = self.roster.known(name) else { return false };
+        if change(&mut self.bans) {
+            let out = self.bans.is_out(name);
+            self.orders
+                .push(Order::Trace(format!("worker {name} is {} by hand", if out { "out" } else { "back" })));
+            if let Some(member) = self.listed.get(&leaf).cloned() {
+                let entry = self.list(leaf, &member);
+                self.inbox.push(Event::Membership(Membership::Delta([entry].into())));
+            }
+        }
+        true
+    }
+
+    /// Who is out by hand.
+    pub fn bans(&self) -> &Bans {
+        &self.bans
+    }
+
     /// Tells the records what a list has changed.
     fn tell(&mut self, now: Time, listing: &Listing, entries: &[Entry]) {
         if self.figures.is_none() {
@@ -410,7 +457,7 @@
             Status::Active => WorkerState::Active,
         };
         let mut states: Vec<(LeafId, WorkerState)> = entries.iter().map(|e| (e.leaf, state(e))).collect();
-        let gone = self.told.keys().filter(|leaf| !self.listed.contains(leaf));
+        let gone = self.told.keys().filter(|leaf| !self.listed.contains_key(leaf));
         states.extend(gone.map(|leaf| (*leaf, WorkerState::Gone)));
         for (leaf, state) in states {
             let before = match state {
@@ -584,14 +631,20 @@
         &self.ends
     }
 
+    /// The name of a server that was ever listed.
+    pub fn name(&self, leaf: LeafId) -> Option<&str> {
+        self.roster.name(leaf)
+    }
+
     /// Servers in the list.
     pub fn listed(&self) -> usize {
         self.listed.len()
     }
 
-    /// Listed servers that get nothing but trials.
+    /// Listed servers that are out by hand, or get nothing but trials.
     pub fn avoided(&self) -> usize {
-        self.module.suspects().filter(|leaf| self.listed.contains(leaf)).count()
+        let by_hand = self.listed.values().filter(|member| self.bans.is_out(&member.name)).count();
+        by_hand + self.module.suspects().filter(|leaf| self.listed.contains_key(leaf)).count()
     }
 
     /// So many attempts have been written to their server, to the last byte.
--- /dev/null
+++ b/tests/bans.rs
@@ -0,0 +1,94 @@
+//! Workers out by hand, as the core hands them to the module: nothing new while out, a cold one's share once back.
+
+use clayshore::api::*;
+use clayshore::program::config::Config;
+use clayshore::routing::{Ask, AskPart, Core, End, Listing, Member, Order};
+use proptest::prelude::*;
+use std::time::Duration;
+
+const START: Time = Time(1_700_000_000_000_000_000);
+
+fn core() -> Core {
+    let json = serde_json::from_str(include_str!("scenario/platform.json")).expect("JSON");
+    let config = Config::from_json(&json, |_| None).expect("a configuration");
+    let mut core = Core::new(config.contracts);
+    core.learn(START, &config.known.expect("a list"), true);
+    core.turn(START);
+    core
+}
+
+fn news(core: &mut Core, now: Time, name: &str, status: Status, since: Option<Time>) {
+    let (address, zone) = (name.to_owned(), String::new());
+    let member = Member { name: name.to_owned(), address, zone, cell: 0, status, units: 1.0, since };
+    core.learn(now, &Listing { revision: 2, complete: false, members: vec![member] }, false);
+}
+
+/// Asks for a part of 0.2 s and serves it at once; the servers that it was sent to, by name.
+fn ask(core: &mut Core, now: Time) -> Vec<String> {
+    let hint = Some(Duration::from_millis(200));
+    let part = AskPart { shard: ShardId(0), weight: 1.0, hint, key: None };
+    let (class, left) = (ClassId(0), Duration::from_secs(5));
+    let (text, parts) = (Default::default(), vec![part]);
+    let ask = Ask { label: "a".into(), class, tenant: None, left, retry: false, text, parts };
+    core.offer(now, ask).expect("there is room");
+    let mut sent = Vec::new();
+    for order in core.turn(now) {
+        if let Order::Call { leaf, parts } = order {
+            sent.push(leaf);
+            parts.iter().for_each(|part| core.ended(now, part.ticket, End::bare(Outcome::Done)));
+        }
+    }
+    core.turn(now);
+    sent.iter().map(|leaf| core.name(*leaf).expect("a name").to_owned()).collect()
+}
+
+#[test]
+fn a_worker_that_is_back_counts_as_just_started() {
+    // Guards against a rush to a worker that was restarted while it was out, of which discovery tells seconds late.
+    let mut core = core();
+    let warm =
+        (0..200).filter(|at| ask(&mut core, START.after(Duration::from_millis(at * 20))) == ["w1"]).count();
+    let now = START.after(Duration::from_secs(5));
+    assert!(core.disable("w1") && core.disable("w1"));
+    assert!((0..50).all(|_| ask(&mut core, now) == ["w2"]));
+    assert!(core.enable(now, "w1"));
+    let back =
+        (0..50_u64).filter(|at| ask(&mut core, now.after(Duration::from_millis(at * 20))) == ["w1"]).count();
+    // In the first second a cold one bears a fifth of its core, times 2.5 by the rule: 2.5 parts of 0.2 s.
+    assert!(
+        warm > 60 && (1..=3).contains(&back),
+        "{warm} of 200 while warm, {back} of 50 in the first second back"
+    );
+}
+
+proptest! {
+    #[test]
+    fn nothing_but_the_call_back_undoes_a_ban(
+        steps in prop::collection::vec((0..2_usize, 0..6_u8, 0..2000_u64), 1..60),
+    ) {
+        let (mut core, mut now) = (core(), START);
+        let mut out = [false; 2];
+        for (worker, what, gap) in steps {
+            now = now.after(Duration::from_millis(gap));
+            let name = ["w1", "w2"][worker];
+            match what {
+                0 | 1 => {
+                    prop_assert!(core.disable(name));
+                    out[worker] = true;
+                }
+                2 => {
+                    prop_assert!(core.enable(now, name));
+                    out[worker] = false;
+                }
+                3 => news(&mut core, now, name, Status::Active, Some(now)),
+                4 => news(&mut core, now, name, Status::Gone, None),
+                _ => news(&mut core, now, name, Status::Draining, None),
+            }
+            prop_assert!(!core.disable("w3") && !core.enable(now, "w3"));
+            let sent = ask(&mut core, now);
+            prop_assert!(sent.iter().all(|name| !out[usize::from(name == "w2")]), "{sent:?}, out: {out:?}");
+            let listed: Vec<&str> = ["w1", "w2"].into_iter().filter(|name| core.bans().is_out(name)).collect();
+            prop_assert_eq!(listed.len(), out.iter().filter(|out| **out).count());
+        }
+    }
+}
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -85,3 +85,58 @@
     let mut gatherer = gatherer;
     assert!(gatherer.ended());
 }
+
+#[test]
+fn a_worker_that_is_out_gets_nothing_until_the_call_back() {
+    let (first, second) = (Worker::start(), Worker::start());
+    let both = |since: u64| {
+        let up = format!(r#""up_since_ms":{since},"id":"w%1""#);
+        let first = member("w%1", &first.address).replace(r#""id":"w%1""#, &up);
+        format!("{first},{}", member("w2", &second.address))
+    };
+    let discovery = Discovery::start(&both(0));
+    let folder = Folder::new("bans");
+    let gatherer = Gatherer::start(&folder, &config(&discovery));
+    let at = &gatherer.operators;
+    let mut client = gatherer.connect();
+    let mut number = 0;
+    let mut ask = |times: usize| {
+        for _ in 0..times {
+            number += 1;
+            query(&mut client, &format!("a{number}"), "search").expect("written");
+            assert_eq!(response(&mut client).expect("an answer").status, 200);
+        }
+    };
+    ask(40);
+    assert!(first.parts() > 0 && second.parts() > 0, "both are in use");
+    for (method, path, status) in [
+        ("PUT", "/-/workers/w9/disable", 404),
+        ("PUT", "/-/workers//enable", 404),
+        ("PUT", "/-/workers/w%ff/disable", 400),
+        ("GET", "/-/workers/w2/disable", 405),
+        ("PUT", "/-/workers/w2/remove", 404),
+    ] {
+        let (answered, text) = operate(at, method, path);
+        assert_eq!((answered, text.lines().count()), (status, 1), "{method} {path}");
+    }
+    assert_eq!(figure(at, "gatherer.ejected"), 0, "none of these changes anything");
+    // Out twice; what discovery says in between, that it restarted among it, undoes nothing.
+    assert_eq!(operate(at, "PUT", "/-/workers/w%251/disable").0, 200);
+    assert_eq!(operate(at, "PUT", "/-/workers/w%251/disable").0, 200);
+    assert_eq!(figure(at, "gatherer.ejected"), 1);
+    let before = first.parts();
+    ask(20);
+    for list in [both(1), member("w2", &second.address), both(2)] {
+        let listed = list.matches("host_port").count() as u64;
+        discovery.tell(&list);
+        while figure(at, "gatherer.discovered") != listed {}
+        ask(20);
+    }
+    assert_eq!(first.parts(), before);
+    // One call back undoes both.
+    assert_eq!(operate(at, "PUT", "/-/workers/w%251/enable").0, 200);
+    assert_eq!(figure(at, "gatherer.ejected"), 0);
+    while first.parts() == before {
+        ask(1);
+    }
+}
