--- a/src/api.rs
+++ b/src/api.rs
@@ -1,10 +1,11 @@
 //! Settings, events, actions and ids of the decision module, as plain types. Nothing here decides.
 
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// A moment on the aggregator's clock, in nanoseconds from an arbitrary start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Time(pub u64);
 
 impl Time {
@@ -20,7 +21,7 @@
 
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {
-        $($(#[$doc])* #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        $($(#[$doc])* #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         pub struct $name(pub $inner);)*
     };
 }
@@ -203,7 +204,7 @@
 }
 
 /// Whether a listed leaf takes work.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Status {
     /// It does.
     #[default]
--- a/src/estimates.rs
+++ b/src/estimates.rs
@@ -2,6 +2,7 @@
 
 use crate::api::{Field, LeafId, Time};
 use crate::state::seconds;
+use serde::{Deserialize, Serialize};
 
 /// Weight of a new sample in running means: about the last twenty count.
 pub const GAIN: f64 = 0.05;
@@ -21,6 +22,7 @@
 
 /// Latency of an answer as a line in the part's own work and the work owed ahead of it, learned by decayed
 /// least squares over all leaves: a root sees only its own traffic, so the others' share shows in the slope.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Model {
     /// Sums of work², work x ahead, ahead², work x latency, ahead x latency.
     sums: [f64; 5],
--- a/src/fronts/opensearch.rs
+++ b/src/fronts/opensearch.rs
@@ -7,7 +7,6 @@
 use crate::routing::held::Held;
 use crate::routing::ledger::{Bounds, Claim, Ledger};
 use crate::routing::{Ask, AskPart, Broker, Clock, Refusal, Verdict};
-use crate::service::Stage;
 use crate::transport::gate::Gate;
 use crate::transport::listener::Front;
 use bytes::Bytes;
@@ -328,7 +327,7 @@
 
     fn health(&self) -> Response {
         let stage = self.gate.stage();
-        Response::text(if stage == Stage::Serving { 200 } else { 503 }, stage.name())
+        Response::text(if stage.healthy() { 200 } else { 503 }, stage.name())
     }
 }
 
--- a/src/fronts/operators.rs
+++ b/src/fronts/operators.rs
@@ -11,17 +11,34 @@
 use percent_encoding::percent_decode_str;
 use std::rc::Rc;
 
+/// The other process of an upgrade, where there is one.
+pub trait Pair {
+    /// Why this process does not serve yet, if it does not.
+    fn unready(&self) -> Option<&'static str>;
+    /// Whether another still hands over to this one.
+    fn succeeds(&self) -> bool;
+    /// An operator has taken a worker out or back here: the other process is to do the same.
+    fn tell(&self, worker: &str, out: bool);
+}
+
 /// Answers operators' calls.
 pub struct Operators {
     /// Whose figures are told.
     pub broker: Broker,
     /// What is drained.
     pub gate: Rc<Gate>,
+    /// What another process of this gatherer has to do with it.
+    pub pair: Rc<dyn Pair>,
 }
 
 impl Operators {
     fn ready(&self) -> Response {
+        if let Some(why) = self.pair.unready() {
+            return Response::text(503, why);
+        }
         match self.gate.stage() {
+            // A drain that was passed on is no reason to leave the upgrade half done.
+            Stage::Draining | Stage::Drained if self.pair.succeeds() => Response::text(200, "ready, drained"),
             Stage::Serving if self.broker.core(|core| core.ready()) => Response::text(200, "ready"),
             Stage::Serving => Response::text(503, "no worker is known yet"),
             stage => Response::text(503, stage.name()),
@@ -49,7 +66,11 @@
         let Ok(id) = percent_decode_str(id).decode_utf8() else {
             return Response::text(400, "the worker's id is no text");
         };
-        match self.broker.by_hand(&id, out) {
+        let known = self.broker.by_hand(&id, out);
+        if known {
+            self.pair.tell(&id, out);
+        }
+        match known {
             true if out => Response::text(200, format!("{id} is out")),
             true => Response::text(200, format!("{id} is in use")),
             false => Response::text(404, format!("no worker of the id {id:?} was ever listed")),
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -44,9 +44,10 @@
 
     fn health(&self) -> Response {
         match self.gate.stage() {
-            Stage::Serving if self.broker.core(|core| core.ready()) => Response::text(200, "serving"),
-            Stage::Serving => Response::text(503, "no worker is known yet"),
-            stage => Response::text(503, stage.name()),
+            Stage::Serving if !self.broker.core(|core| core.ready()) => {
+                Response::text(503, "no worker is known yet")
+            }
+            stage => Response::text(if stage.healthy() { 200 } else { 503 }, stage.name()),
         }
     }
 }
--- a/src/limits/bytes.rs
+++ b/src/limits/bytes.rs
@@ -16,6 +16,11 @@
         Bytes { total, least: total / holders.max(1) / 2, used: 0 }
     }
 
+    /// Another sum, as when another process comes to share it or leaves.
+    pub fn resize(&mut self, total: usize, holders: usize) {
+        (self.total, self.least) = (total, total / holders.max(1) / 2);
+    }
+
     /// What each holder gets, however many there are.
     pub fn least(&self) -> usize {
         self.least
--- a/src/limits/descriptors.rs
+++ b/src/limits/descriptors.rs
@@ -102,6 +102,16 @@
         Descriptors { plan, held: [0; SIDES.len()], firm: [0; SIDES.len()] }
     }
 
+    /// Divides them anew, as when another process comes to share them or leaves. What is held beyond that is to be
+    /// called back.
+    pub fn replan(&mut self, plan: Plan) {
+        self.plan = plan;
+    }
+    /// What is held beyond what there is.
+    pub fn excess(&self) -> usize {
+        self.held.iter().sum::<usize>().saturating_sub(self.plan.usable)
+    }
+
     /// How they are divided.
     pub fn plan(&self) -> &Plan {
         &self.plan
@@ -116,7 +126,7 @@
     }
     /// What nobody holds.
     pub fn free(&self) -> usize {
-        self.plan.usable - self.held.iter().sum::<usize>()
+        self.plan.usable.saturating_sub(self.held.iter().sum())
     }
     fn loose(&self, side: usize) -> usize {
         self.held[side] - self.firm[side]
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -9,3 +9,4 @@
 mod recording;
 pub mod run;
 pub mod settings;
+mod upgrade;
--- a/src/program/process.rs
+++ b/src/program/process.rs
@@ -37,26 +37,44 @@
     open.unwrap_or(STANDING) + SPARE
 }
 
-/// Divides the descriptors that the configuration and the system leave. To be called once everything that stays open
-/// for good is open.
-pub fn plan(configured: usize, operated: bool) -> Result<Plan, TooFew> {
-    let (limit, standing) = (allowed(configured), standing());
-    if limit < configured {
-        log::warn!("of {configured} descriptors configured the system allows {limit}");
-    }
-    let plan = Plan::new(limit, standing, if operated { OPERATORS } else { 0 })?;
-    log::info!(
-        "{limit} descriptors, {standing} in use; floors: clients {}, workers {}, discovery {}, files {}, operators {}",
-        plan.floors[0],
-        plan.floors[1],
-        plan.floors[2],
-        plan.floors[3],
-        plan.floors[4]
-    );
-    Ok(plan)
+/// What the process may use.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowed {
+    descriptors: usize,
+    standing: usize,
+    operators: usize,
+    memory_mb: u64,
 }
 
-/// Bytes that may be buffered for peers, of so much memory.
-pub fn buffered(memory_mb: u64) -> usize {
-    usize::try_from((memory_mb << 20) / BUFFERED).unwrap_or(usize::MAX)
+impl Allowed {
+    /// Reads what the configuration and the system leave. To be called once everything that stays open for good is open,
+    /// but for so many that are opened later.
+    pub fn read(configured: usize, memory_mb: u64, later: usize, operated: bool) -> Allowed {
+        let (descriptors, standing) = (allowed(configured), standing() + later);
+        if descriptors < configured {
+            log::warn!("of {configured} descriptors configured the system allows {descriptors}");
+        }
+        Allowed { descriptors, standing, operators: if operated { OPERATORS } else { 0 }, memory_mb }
+    }
+
+    /// The share of one of so many processes.
+    pub fn plan(&self, processes: u32) -> Result<Plan, TooFew> {
+        let plan = Plan::new(self.descriptors / processes.max(1) as usize, self.standing, self.operators)?;
+        log::info!(
+            "{} descriptors, {} in use; floors: clients {}, workers {}, discovery {}, files {}, operators {}",
+            self.descriptors / processes.max(1) as usize,
+            self.standing,
+            plan.floors[0],
+            plan.floors[1],
+            plan.floors[2],
+            plan.floors[3],
+            plan.floors[4]
+        );
+        Ok(plan)
+    }
+
+    /// Bytes that one of so many processes may buffer for peers.
+    pub fn buffered(&self, processes: u32) -> usize {
+        usize::try_from((self.memory_mb << 20) / BUFFERED / u64::from(processes.max(1))).unwrap_or(usize::MAX)
+    }
 }
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -3,8 +3,9 @@
 use super::config::{Config, Error};
 use super::opensearch_file::FrontFile;
 use super::operator::Operator;
-use super::process;
+use super::process::Allowed;
 use super::recording::Recording;
+use super::upgrade::Upgrade;
 use crate::api::Settings;
 use crate::fronts::counts;
 use crate::fronts::opensearch::OpenSearch;
@@ -30,6 +31,9 @@
 use tokio::sync::watch::Sender;
 use tokio::task::{LocalSet, spawn_local};
 
+/// Descriptors that an operated process opens later than it reads its limits: the clients' listener, the place where a
+/// successor finds it, and the connection to it.
+const UPGRADE: usize = 3;
 /// How often the end looks whether all is answered.
 const LOOK: Duration = Duration::from_millis(10);
 /// Time past the longest deadline after which the end no longer waits for a client to read its answer.
@@ -43,12 +47,17 @@
 ) -> io::Result<()> {
     in_runtime(async move {
         let hangups = signal(SignalKind::hangup())?;
-        let listener = TcpListener::bind(config.listen).await?;
         let operators = match config.operator {
             Some(address) => Some(TcpListener::bind(address).await?),
             None => None,
         };
-        let places = places(config.sockets, config.memory_mb, operators.is_some())?;
+        let alone = match &operators {
+            Some(_) => None,
+            None => Some(Rc::new(TcpListener::bind(config.listen).await?)),
+        };
+        let later = if alone.is_some() { 0 } else { UPGRADE };
+        let allowed = Allowed::read(config.sockets, config.memory_mb, later, operators.is_some());
+        let places = places(&allowed)?;
         let (digest, longest) = (digest(&config.contracts), longest(&config.contracts));
         let clock = Clock::system();
         let (seed, roots) = (config.contracts.settings.seed, config.contracts.settings.roots);
@@ -66,11 +75,19 @@
         let workers = Workers::new(broker.clone(), dial.clone(), places.clone());
         spawn_local(workers.clone().give_way());
         let gate = Gate::new(places.clone(), longest);
-        if let Some(listener) = operators {
+        let upgrade = alone
+            .is_none()
+            .then(|| Upgrade::new(broker.clone(), gate.clone(), clock, allowed, config.listen));
+        if let (Some(listener), Some(upgrade)) = (operators, &upgrade) {
             log::info!("operators may call {}", listener.local_addr()?);
-            let desk = Operators { broker: broker.clone(), gate: gate.clone() };
+            let desk = Operators { broker: broker.clone(), gate: gate.clone(), pair: upgrade.clone() };
             spawn_local(desk::attend(listener, Rc::new(desk), places.clone()));
         }
+        let listener = match (alone, &upgrade) {
+            (Some(listener), _) => listener,
+            (None, Some(upgrade)) => upgrade.begin().await?,
+            (None, None) => return Err(io::ErrorKind::NotFound.into()),
+        };
         let front = Platform { broker: broker.clone(), gate: gate.clone() };
         let watcher = broker.clone();
         let discovery = Sender::new(config.discovery);
@@ -84,7 +101,7 @@
             discovery.send_replace(config.discovery);
             Ok(news)
         }));
-        serve(listener, &config.name, broker, workers, front, gate, recording).await
+        serve(listener, &config.name, broker, workers, front, gate, recording, upgrade).await
     })
 }
 
@@ -97,8 +114,8 @@
 ) -> io::Result<()> {
     in_runtime(async move {
         let hangups = signal(SignalKind::hangup())?;
-        let listener = TcpListener::bind(file.listen).await?;
-        let places = places(file.sockets, file.memory_mb, false)?;
+        let listener = Rc::new(TcpListener::bind(file.listen).await?);
+        let places = places(&Allowed::read(file.sockets, file.memory_mb, 0, false))?;
         let clock = Clock::system();
         let (digest, longest) = (digest(&file.contracts), longest(&file.contracts));
         let broker = Broker::new(Core::new(file.contracts), clock);
@@ -117,7 +134,7 @@
         spawn_local(servers.clone().give_way());
         let gate = Gate::new(places, longest);
         let front = OpenSearch::new(broker.clone(), clock, gate.clone(), file.names, start, seed);
-        serve(listener, "opensearch", broker, servers, front, gate, recording).await
+        serve(listener, "opensearch", broker, servers, front, gate, recording, None).await
     })
 }
 
@@ -127,14 +144,16 @@
 }
 
 /// Serves one front, from its first connection to its last answer.
+#[allow(clippy::too_many_arguments)]
 async fn serve(
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     name: &str,
     broker: Broker,
     carrier: impl Carrier + 'static,
     front: impl Front + 'static,
     gate: Rc<Gate>,
     recording: Recording,
+    upgrade: Option<Rc<Upgrade>>,
 ) -> io::Result<()> {
     let longest = broker.core(|core| longest(core.contracts()));
     let at = listener.local_addr()?;
@@ -145,12 +164,23 @@
     let aged = gate.clone();
     spawn_local(async move { aged.age().await });
     let kept = spawn_local(recording.clone().keep(broker.clone(), gate.clone()));
-    spawn_local(listener::accept(listener, Rc::new(front), gate.clone()));
-    log::info!("{name} serving on {at}");
+    let (serving, door, starting) = (format!("{name} serving on {at}"), gate.clone(), upgrade.clone());
+    spawn_local(async move {
+        if let Some(upgrade) = starting {
+            upgrade.ready().await;
+            upgrade.serving();
+        }
+        log::info!("{serving}");
+        listener::accept(listener, Rc::new(front), door).await;
+    });
     stopped().await?;
-    let answered = wind_up(&broker, &gate, longest).await;
+    let stop = upgrade.as_ref().map_or(Call::Stop, |upgrade| upgrade.stop());
+    let answered = wind_up(&broker, &gate, stop, longest).await;
     kept.abort();
     recording.end(&broker, &gate, answered);
+    if let Some(upgrade) = upgrade {
+        upgrade.end();
+    }
     counts(&broker, &gate).lines().for_each(|line| log::info!("{line}"));
     Ok(())
 }
@@ -166,10 +196,10 @@
     contracts.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
 }
 
-/// Divides what the process may use; called once everything that stays open is open.
-fn places(sockets: usize, memory_mb: u64, operated: bool) -> io::Result<Rc<Places>> {
-    let plan = process::plan(sockets, operated).map_err(io::Error::other)?;
-    Ok(Places::new(plan, process::buffered(memory_mb)))
+/// Divides what the process may use, as one that is alone.
+fn places(allowed: &Allowed) -> io::Result<Rc<Places>> {
+    let plan = allowed.plan(1).map_err(io::Error::other)?;
+    Ok(Places::new(plan, allowed.buffered(1)))
 }
 
 /// Reads the configuration again at each SIGHUP, and says what holds from now on; nothing that is in flight notices.
@@ -207,10 +237,10 @@
 
 /// Sees out those who still come, takes nothing new, and returns once all that was taken is answered, or `false` once
 /// its time is up.
-async fn wind_up(broker: &Broker, gate: &Gate, longest: Duration) -> bool {
+async fn wind_up(broker: &Broker, gate: &Gate, stop: Call, longest: Duration) -> bool {
     log::info!("stopping: {} connections are open", gate.open());
     // It cannot be refused: nothing stops twice, and a second stop is the first.
-    let _ = gate.call(Call::Stop);
+    let _ = gate.call(stop);
     gate.closing().await;
     let all_answered = async {
         // A search that runs once goes on without its client, for the outcome is to be known.
--- /dev/null
+++ b/src/program/upgrade.rs
@@ -0,0 +1,386 @@
+//! Upgrades: a second start takes over from the first, and a first lets itself be taken over from. What either may do is
+//! decided in [`crate::service::succession`]; the ways are weighed in docs/service.md.
+
+use super::process::Allowed;
+use crate::fronts::operators::Pair;
+use crate::protocol::handover::{Message, State};
+use crate::routing::{Broker, Clock};
+use crate::service::stage::Call;
+use crate::service::{Stage, Succession};
+use crate::transport::gate::Gate;
+use crate::transport::relay::{Lost, Meeting, Relay};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, UnixListener};
+use tokio::sync::{Notify, mpsc};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, timeout};
+
+/// How long the other process may take to answer before it counts as hung.
+const ANSWER: Duration = Duration::from_secs(1);
+/// How long a successor waits for discovery at most: it has the list that was passed on.
+const DISCOVERY: Duration = Duration::from_secs(1);
+/// How often one that has to wait asks again.
+const AGAIN: Duration = Duration::from_millis(200);
+/// How long an address that is in use is waited for: its process may be about to end.
+const ADDRESS: Duration = Duration::from_secs(5);
+/// Connections that may wait in the queue.
+const QUEUE: u32 = 1024;
+/// Changes that may wait to be told to the other process; operators make them by hand.
+const CHANGES: usize = 256;
+
+/// One process's part in upgrades.
+pub struct Upgrade {
+    broker: Broker,
+    gate: Rc<Gate>,
+    clock: Clock,
+    allowed: Allowed,
+    listen: SocketAddr,
+    meeting: Meeting,
+    succession: RefCell<Succession>,
+    /// Tells the other process, while there is one.
+    other: RefCell<Option<mpsc::Sender<Message>>>,
+    /// It is to serve as soon as it can.
+    hurry: Notify,
+    waits: Cell<bool>,
+    listener: RefCell<Option<Rc<TcpListener>>>,
+}
+
+impl Upgrade {
+    /// For the gatherer whose clients connect there.
+    pub fn new(
+        broker: Broker,
+        gate: Rc<Gate>,
+        clock: Clock,
+        allowed: Allowed,
+        listen: SocketAddr,
+    ) -> Rc<Upgrade> {
+        let meeting = Meeting::new(&std::env::temp_dir(), &listen.to_string());
+        Rc::new(Upgrade {
+            broker,
+            gate,
+            clock,
+            allowed,
+            listen,
+            meeting,
+            succession: RefCell::default(),
+            other: RefCell::default(),
+            hurry: Notify::new(),
+            waits: Cell::new(false),
+            listener: RefCell::default(),
+        })
+    }
+
+    /// Takes over from a process that serves there, or listens alone where there is none.
+    pub async fn begin(self: &Rc<Self>) -> io::Result<Rc<TcpListener>> {
+        let listener = match self.take_over().await {
+            Some(listener) => listener,
+            None => self.bind().await?,
+        };
+        let listener = Rc::new(listener);
+        self.listener.replace(Some(listener.clone()));
+        Ok(listener)
+    }
+
+    /// Asks whoever serves there to hand over, for as long as it says to wait.
+    async fn take_over(self: &Rc<Self>) -> Option<TcpListener> {
+        loop {
+            let mut relay = timeout(ANSWER, self.meeting.find()).await.ok()??;
+            let join = Message::Join { listen: self.listen.to_string() };
+            let asked = async {
+                match relay.send(&join).await {
+                    Ok(()) => relay.receive_with().await,
+                    Err(lost) => (Err(lost), None),
+                }
+            };
+            let (said, socket) = match timeout(ANSWER, asked).await {
+                Ok(answer) => answer,
+                Err(_) => (Err(io::Error::from(io::ErrorKind::TimedOut).into()), None),
+            };
+            let listener = socket.and_then(|socket| self.inherit(socket));
+            match said {
+                Ok(Message::State(state)) => {
+                    self.waits.set(false);
+                    let passed = format!(
+                        "{} workers, {} out by hand",
+                        state.list.members.len(),
+                        state.bans.all().count()
+                    );
+                    self.apply(*state);
+                    self.succession.borrow_mut().inherits();
+                    self.share().await;
+                    log::info!("upgrade: taking over: {passed}");
+                    let upgrade = self.clone();
+                    let tell = upgrade.connect();
+                    spawn_local(async move { upgrade.follow(relay, tell).await });
+                    return listener;
+                }
+                Ok(Message::Busy) => {
+                    if !self.waits.replace(true) {
+                        log::warn!("upgrade: another one is under way; waiting for its end");
+                    }
+                    tokio::time::sleep(AGAIN).await;
+                }
+                Ok(other) => {
+                    log::warn!("upgrade: nothing is taken over but the socket: unexpected {other:?}");
+                    return listener;
+                }
+                Err(lost) => {
+                    log::warn!("upgrade: nothing is taken over but the socket, if that came: {lost}");
+                    return listener;
+                }
+            }
+        }
+    }
+
+    /// The socket that came, if it is one that listens where this gatherer's clients connect.
+    fn inherit(&self, socket: OwnedFd) -> Option<TcpListener> {
+        let listener = std::net::TcpListener::from(socket);
+        if listener.local_addr().ok() != Some(self.listen) {
+            log::warn!("upgrade: a socket of another address came; it is not used");
+            return None;
+        }
+        listener.set_nonblocking(true).ok()?;
+        TcpListener::from_std(listener).ok()
+    }
+
+    fn apply(&self, state: State) {
+        let now = self.clock.now();
+        self.broker.core(|core| core.take_over(now, &state.list, state.bans, state.learned));
+        if state.drained {
+            // It serves, so it cannot be refused.
+            let _ = self.gate.call(Call::Drain);
+        }
+    }
+
+    /// A socket of its own, which a further one may share where no hand-over can be had.
+    async fn bind(&self) -> io::Result<TcpListener> {
+        let since = Instant::now();
+        loop {
+            let socket = if self.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+            socket.set_reuseaddr(true)?;
+            socket.set_reuseport(true)?;
+            match socket.bind(self.listen).and_then(|()| socket.listen(QUEUE)) {
+                Err(error) if error.kind() == io::ErrorKind::AddrInUse && since.elapsed() < ADDRESS => {
+                    tokio::time::sleep(AGAIN).await;
+                }
+                bound => return bound,
+            }
+        }
+    }
+
+    fn connect(&self) -> mpsc::Receiver<Message> {
+        let (tell, told) = mpsc::channel(CHANGES);
+        self.other.replace(Some(tell));
+        told
+    }
+
+    /// Divides what may be used by the processes that there are.
+    async fn share(&self) {
+        let processes = self.succession.borrow().processes();
+        self.broker.core(|core| core.share(processes));
+        match self.allowed.plan(processes) {
+            Ok(plan) => self.gate.places().replan(plan, self.allowed.buffered(processes)).await,
+            Err(error) => log::warn!("upgrade: descriptors are not shared: {error}"),
+        }
+    }
+
+    /// Returns once this process may serve: at once where it is alone; else once discovery has told it a list, or a
+    /// moment has passed, or the other is told to stop.
+    pub async fn ready(&self) {
+        if self.succession.borrow().processes() > 1 {
+            let told = async {
+                while self.broker.core(|core| !core.told()) {
+                    tokio::time::sleep(AGAIN / 10).await;
+                }
+            };
+            tokio::select! {
+                () = told => {}
+                () = self.hurry.notified() => {}
+                () = tokio::time::sleep(DISCOVERY) => {}
+            }
+        }
+    }
+
+    /// This process takes clients from now on, and may be taken over from.
+    pub fn serving(self: &Rc<Self>) {
+        self.succession.borrow_mut().serves();
+        if let Some(other) = &*self.other.borrow() {
+            // The first message of this channel: there is room.
+            let _ = other.try_send(Message::Serving);
+        }
+        let upgrade = self.clone();
+        spawn_local(async move { upgrade.wait_for_successors().await });
+    }
+
+    /// What SIGTERM means, said to a successor too.
+    pub fn stop(&self) -> Call {
+        if let Some(other) = &*self.other.borrow() {
+            // One that does not hear it serves a moment later.
+            let _ = other.try_send(Message::Stopping);
+        }
+        self.succession.borrow().stop()
+    }
+
+    /// The end of the process.
+    pub fn end(&self) {
+        if self.succession.borrow().stop() == Call::Stop {
+            self.meeting.leave();
+        }
+    }
+
+    /// The successor's side: what the predecessor tells, until its end.
+    async fn follow(self: Rc<Self>, relay: Relay, told: mpsc::Receiver<Message>) {
+        let lost = self.relay(relay, told).await;
+        log::info!("upgrade: the process before has ended: {lost}");
+        self.succession.borrow_mut().predecessor_gone();
+        self.other.take();
+        self.hurry.notify_one();
+        self.share().await;
+    }
+
+    async fn wait_for_successors(self: Rc<Self>) {
+        let mut said = false;
+        let meeting = loop {
+            match self.meeting.listen() {
+                Ok(meeting) => break meeting,
+                Err(error) => {
+                    if !std::mem::replace(&mut said, true) {
+                        log::warn!("upgrade: a further start cannot find this one yet: {error}");
+                    }
+                    tokio::time::sleep(AGAIN).await;
+                }
+            }
+        };
+        self.meet(meeting).await;
+    }
+
+    async fn meet(self: &Rc<Self>, meeting: UnixListener) {
+        loop {
+            let Ok((stream, _)) = meeting.accept().await else {
+                tokio::time::sleep(AGAIN).await;
+                continue;
+            };
+            let Some(mut relay) = Relay::new(stream) else { continue };
+            let asked = match timeout(ANSWER, relay.receive()).await {
+                Ok(Ok(Message::Join { listen })) if listen == self.listen.to_string() => Ok(()),
+                Ok(Ok(other)) => Err(format!("{other:?}")),
+                Ok(Err(lost)) => Err(lost.to_string()),
+                Err(_) => Err("it says nothing".to_owned()),
+            };
+            if let Err(why) = asked {
+                log::warn!("upgrade: no successor: {why}");
+                continue;
+            }
+            let joined = match self.gate.stage().stops() {
+                true => Err(crate::service::succession::Busy),
+                false => self.succession.borrow_mut().join(),
+            };
+            if joined.is_err() {
+                // Whether it hears it or not, it has to wait.
+                let _ = timeout(ANSWER, relay.send(&Message::Busy)).await;
+                continue;
+            }
+            let upgrade = self.clone();
+            spawn_local(async move { upgrade.hand_over(relay).await });
+        }
+    }
+
+    /// The predecessor's side, until the successor's end or its own.
+    async fn hand_over(self: Rc<Self>, mut relay: Relay) {
+        log::info!("upgrade: a successor has started");
+        self.share().await;
+        let told = self.connect();
+        let state = self.broker.core(|core| State {
+            list: core.list_told(),
+            bans: core.bans().clone(),
+            drained: matches!(self.gate.stage(), Stage::Draining | Stage::Drained),
+            learned: core.learned(),
+        });
+        let message = Message::State(Box::new(state));
+        let listener = self.listener.borrow().clone();
+        let sent = async {
+            match &listener {
+                Some(listener) => relay.send_with(&message, listener.as_fd()).await,
+                None => relay.send(&message).await,
+            }
+        };
+        let lost = match timeout(ANSWER, sent).await {
+            Ok(Ok(())) => self.relay(relay, told).await,
+            Ok(Err(lost)) => lost,
+            Err(_) => io::Error::from(io::ErrorKind::TimedOut).into(),
+        };
+        log::warn!("upgrade: the successor has ended, this process goes on: {lost}");
+        self.succession.borrow_mut().successor_gone();
+        self.other.take();
+        self.share().await;
+    }
+
+    /// Passes on what happens here and does what is told, until the connection ends; says why it did.
+    async fn relay(&self, mut relay: Relay, mut told: mpsc::Receiver<Message>) -> Lost {
+        loop {
+            let message = tokio::select! {
+                biased;
+                message = told.recv() => match message {
+                    Some(message) => match relay.send(&message).await {
+                        Ok(()) => continue,
+                        Err(lost) => return lost,
+                    },
+                    None => return io::Error::from(io::ErrorKind::NotConnected).into(),
+                },
+                message = relay.receive() => match message {
+                    Ok(message) => message,
+                    Err(lost) => return lost,
+                },
+            };
+            self.obey(message);
+        }
+    }
+
+    fn obey(&self, message: Message) {
+        match message {
+            Message::Out { worker } => self.broker.by_hand_too(&worker, true),
+            Message::Back { worker } => self.broker.by_hand_too(&worker, false),
+            Message::Serving => {
+                log::info!("upgrade: the successor serves");
+                self.succession.borrow_mut().successor_serves();
+                if self.gate.stage() == Stage::Stopping {
+                    // A process that stops may always be succeeded.
+                    let _ = self.gate.call(Call::Succeed);
+                }
+            }
+            Message::Stopping => self.hurry.notify_one(),
+            Message::Join { .. } | Message::Busy | Message::State(_) => {
+                log::warn!("upgrade: unexpected {message:?}");
+            }
+        }
+    }
+}
+
+impl Pair for Upgrade {
+    fn unready(&self) -> Option<&'static str> {
+        match (self.waits.get(), self.succession.borrow().serving()) {
+            (true, _) => Some("another upgrade is under way"),
+            (false, false) => Some("starting"),
+            (false, true) => None,
+        }
+    }
+
+    fn succeeds(&self) -> bool {
+        self.succession.borrow().succeeds()
+    }
+
+    fn tell(&self, worker: &str, out: bool) {
+        let worker = worker.to_owned();
+        let change = if out { Message::Out { worker } } else { Message::Back { worker } };
+        if let Some(other) = &*self.other.borrow()
+            && let Err(error) = other.try_send(change)
+        {
+            log::error!("upgrade: a change by hand was not passed on: {error}");
+        }
+    }
+}
--- a/src/routing/broker.rs
+++ b/src/routing/broker.rs
@@ -122,6 +122,12 @@
         known
     }
 
+    /// The same, as another process of this gatherer was told it, which knew the server.
+    pub fn by_hand_too(&self, server: &str, out: bool) {
+        self.core(|core| core.know(server));
+        self.by_hand(server, out);
+    }
+
     /// Runs turns for as long as the process lives. Whatever tasks report while one is due goes into it together.
     pub async fn drive(&self, carrier: &dyn Carrier) {
         loop {
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -7,6 +7,7 @@
 use crate::api::*;
 use crate::records::figures::{self, Figures, Seen};
 use crate::records::line::{Body, WorkerState};
+use crate::rules::Learned;
 use crate::service::Bans;
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -219,6 +220,8 @@
     listed: HashMap<LeafId, Member>,
     bans: Bans,
     next: u64,
+    processes: u32,
+    told_list: bool,
     /// What it has counted so far.
     pub counters: Counters,
     /// How the queries of each class ended.
@@ -248,6 +251,8 @@
             listed: HashMap::new(),
             bans: Bans::default(),
             next: 1,
+            processes: 1,
+            told_list: false,
             counters: Counters::default(),
             figures: None,
             news: Vec::new(),
@@ -288,7 +293,7 @@
         if let Some(figures) = &mut self.figures {
             figures.taken(seen);
         }
-        if self.queries.len() + self.parts.len() >= self.contracts.limits.max_open {
+        if self.queries.len() + self.parts.len() >= self.contracts.limits.max_open / self.processes as usize {
             self.counters.refused_full += 1;
             self.note(seen, figures::End::RefusedFull, Duration::ZERO);
             return Err(Verdict::Refused {
@@ -357,6 +362,7 @@
     /// News from discovery; `cached` for the list as last held.
     pub fn learn(&mut self, now: Time, listing: &Listing, cached: bool) {
         self.counters.listings += 1;
+        self.told_list |= !cached;
         let mut entries = Vec::new();
         let mut named = HashSet::new();
         for member in &listing.members {
@@ -421,6 +427,46 @@
         self.by_hand(name, |bans| bans.enable(now, name))
     }
 
+    /// So many processes are this one gatherer, and share what it may hold and push.
+    pub fn share(&mut self, processes: u32) {
+        self.processes = processes.max(1);
+        let whole = self.contracts.settings.fall_multiple;
+        self.module.push_cold_by(whole / f64::from(self.processes));
+    }
+
+    /// The list as discovery last told it.
+    pub fn list_told(&self) -> Listing {
+        let mut members: Vec<Member> = self.listed.values().cloned().collect();
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        Listing { revision: 0, complete: true, members }
+    }
+
+    /// What the module has learned.
+    pub fn learned(&self) -> Learned {
+        self.module.learned(|leaf| self.roster.name(leaf))
+    }
+
+    /// A server that a list named to another process of this gatherer.
+    pub fn know(&mut self, name: &str) {
+        self.roster.id(name);
+    }
+
+    /// Whether discovery itself has told a list.
+    pub fn told(&self) -> bool {
+        self.told_list
+    }
+
+    /// Takes over what another process of this gatherer knew: its list, who is out by hand, what its module learned.
+    pub fn take_over(&mut self, now: Time, list: &Listing, bans: Bans, learned: Learned) {
+        learned.names().chain(bans.all()).take(MOST_NAMES).for_each(|name| self.know(name));
+        self.bans = bans;
+        self.learn(now, list, true);
+        // The module has to know the leaves before it is told of them.
+        let orders = self.turn(now);
+        self.module.take_over(learned, |name| self.roster.known(name));
+        self.orders.extend(orders);
+    }
+
     fn by_hand(&mut self, name: &str, change: impl FnOnce(&mut Bans) -> bool) -> bool {
         let Some(leaf) = self.roster.known(name) else { return false };
         if change(&mut self.bans) {
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -1,11 +1,12 @@
 //! Servers by name, as discovery tells of them, and the ids under which the module knows them.
 
 use crate::api::*;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// A server as discovery lists it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     /// Its name, the same at every gatherer.
     pub name: String,
@@ -24,7 +25,7 @@
 }
 
 /// News from discovery: the complete list, or the entries that changed.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
     /// The list's version.
     pub revision: u64,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 mod learned;
+pub use learned::Learned;
 
 /// Share of a key's work that its home is expected to save (DESIGN's P; its default).
 const HIT: f64 = 0.5;
--- a/src/rules/learned.rs
+++ b/src/rules/learned.rs
@@ -1,7 +1,57 @@
-//! What an aggregator has learned, as others may read it. Nothing here decides.
+//! What an aggregator has learned, as others may read it, and as a successor takes it over. Nothing here decides.
 
 use super::Aggregator;
-use crate::api::{LeafId, Status};
+use crate::api::*;
+use crate::estimates::{Model, normalise};
+use crate::state::Leaf;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// What was learned of one leaf, by its name.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LearnedLeaf {
+    name: String,
+    /// The start of the process of which it was learned.
+    since: Option<Time>,
+    cold_from: Option<Time>,
+    sent: Vec<(Time, f64)>,
+    utilization: Option<f64>,
+    heard: Option<Time>,
+    seen: f64,
+    planned: f64,
+    last_done: Time,
+    spoke: Time,
+    silent: bool,
+    inferred: bool,
+    unreached: Option<Time>,
+    strikes: u32,
+    lost: Vec<(Option<ClassId>, f64, Time)>,
+    suspect: Option<(Time, Duration)>,
+    served: f64,
+}
+
+/// What was learned in all: of leaves, of the multipliers of each shard's replicas, and for admission.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    leaves: Vec<LearnedLeaf>,
+    shards: Vec<(ShardId, Vec<(String, f64)>)>,
+    shares: Vec<(TenantId, f64, Time)>,
+    patience: Vec<(usize, Duration, i32)>,
+    marked: bool,
+    model: Model,
+    lost: f64,
+    gap: f64,
+    asked: Time,
+    answered: Time,
+    base: Vec<f64>,
+}
+
+impl Learned {
+    /// The leaves of which anything was learned, those that are gone among them.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.leaves.iter().map(|leaf| leaf.name.as_str())
+    }
+}
 
 impl Aggregator {
     /// The active leaves that it sends nothing to but trials.
@@ -12,4 +62,90 @@
             .filter(|(_, leaf)| leaf.entry.status == Status::Active && leaf.suspect.is_some());
         suspect.map(|(id, _)| *id)
     }
+
+    /// Has it push cold leaves by this multiple of what they bear, in place of that of its settings: two processes of one
+    /// root share it.
+    pub fn push_cold_by(&mut self, multiple: f64) {
+        self.settings.fall_multiple = multiple;
+    }
+
+    /// What it has learned of the leaves that have a name.
+    pub fn learned<'a>(&self, name: impl Fn(LeafId) -> Option<&'a str>) -> Learned {
+        let of = |(id, leaf): (&LeafId, &Leaf)| {
+            Some(LearnedLeaf {
+                name: name(*id)?.to_owned(),
+                since: leaf.entry.since,
+                cold_from: leaf.cold_from,
+                sent: leaf.sent.iter().copied().collect(),
+                utilization: leaf.utilization,
+                heard: leaf.heard,
+                seen: leaf.seen,
+                planned: leaf.planned,
+                last_done: leaf.last_done,
+                spoke: leaf.spoke,
+                silent: leaf.silent,
+                inferred: leaf.inferred,
+                unreached: leaf.unreached,
+                strikes: leaf.strikes,
+                lost: leaf.lost.iter().map(|(class, (share, at))| (*class, *share, *at)).collect(),
+                suspect: leaf.suspect,
+                served: leaf.served,
+            })
+        };
+        let row = |row: &Vec<(LeafId, f64)>| {
+            row.iter().filter_map(|(id, m)| Some((name(*id)?.to_owned(), *m))).collect()
+        };
+        Learned {
+            leaves: self.leaves.iter().filter_map(of).collect(),
+            shards: self.shards.iter().map(|(shard, held)| (*shard, row(held))).collect(),
+            shares: self.shares.iter().map(|(tenant, (left, at))| (*tenant, *left, *at)).collect(),
+            patience: self.patience.iter().map(|(class, (left, lead))| (*class, *left, *lead)).collect(),
+            marked: self.marked,
+            model: self.model.clone(),
+            lost: self.lost,
+            gap: self.gap,
+            asked: self.asked,
+            answered: self.answered,
+            base: self.base.clone(),
+        }
+    }
+
+    /// Takes over what another has learned, of the leaves that it knows itself by now. What was learned of a process that
+    /// has been replaced since is left out, but for when it was last sent work.
+    pub fn take_over(&mut self, learned: Learned, leaf: impl Fn(&str) -> Option<LeafId>) {
+        for of in learned.leaves {
+            let Some(own) = leaf(&of.name).and_then(|id| self.leaves.get_mut(&id)) else { continue };
+            own.sent = of.sent.into();
+            own.cold_from = own.cold_from.max(of.cold_from);
+            if own.entry.since != of.since {
+                continue;
+            }
+            (own.utilization, own.heard) = (of.utilization, of.heard);
+            (own.seen, own.planned) = (of.seen, of.planned);
+            (own.last_done, own.spoke) = (of.last_done, of.spoke);
+            (own.silent, own.inferred, own.unreached) = (of.silent, of.inferred, of.unreached);
+            (own.strikes, own.suspect, own.served) = (of.strikes, of.suspect, of.served);
+            own.lost = of.lost.into_iter().map(|(class, share, at)| (class, (share, at))).collect();
+        }
+        for (shard, held) in learned.shards {
+            let Some(row) = self.shards.get_mut(&shard) else { continue };
+            for (name, m) in held {
+                if let Some(id) = leaf(&name)
+                    && let Some(own) = row.iter_mut().find(|own| own.0 == id)
+                {
+                    own.1 = m;
+                }
+            }
+            normalise(row);
+        }
+        self.shares = learned.shares.into_iter().map(|(tenant, left, at)| (tenant, (left, at))).collect();
+        self.patience =
+            learned.patience.into_iter().map(|(class, left, lead)| (class, (left, lead))).collect();
+        if learned.base.len() == self.base.len() {
+            self.base = learned.base;
+        }
+        (self.marked, self.model) = (learned.marked, learned.model);
+        (self.lost, self.gap) = (learned.lost, learned.gap);
+        (self.asked, self.answered) = (learned.asked, learned.answered);
+    }
 }
--- a/src/service/bans.rs
+++ b/src/service/bans.rs
@@ -1,10 +1,11 @@
 //! Workers that operators have taken out by hand: a fact beside discovery's list, which no news undoes.
 
 use crate::api::{Status, Time};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Names of workers that are out by hand, and when others were last taken back.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Bans {
     out: BTreeSet<String>,
     back: BTreeMap<String, Time>,
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod bans;
 pub mod stage;
+pub mod succession;
 
 pub use bans::Bans;
-pub use stage::{Call, Stage, Stages};
+pub use stage::{Stage, Stages};
+pub use succession::Succession;
--- a/src/service/stage.rs
+++ b/src/service/stage.rs
@@ -19,18 +19,33 @@
     Drained,
     /// On SIGTERM: no longer healthy, but it serves who still comes.
     Stopping,
+    /// On SIGTERM, where a successor serves: the gatherer goes on in that one. This one accepts nobody, is healthy for
+    /// whoever asks on a connection of before, and closes each behind its answer.
+    Succeeded,
     /// The last: it takes nothing new, closes idle connections, and others behind their answers.
     Closing,
 }
 
 impl Stage {
-    /// Connections end behind their next answer, or as soon as nothing is open on them.
+    /// Clients are to be sent here.
+    pub fn healthy(self) -> bool {
+        matches!(self, Stage::Serving | Stage::Succeeded)
+    }
+    /// Connections are let in.
+    pub fn accepts(self) -> bool {
+        !matches!(self, Stage::Succeeded | Stage::Closing)
+    }
+    /// Connections end behind their next answer.
     pub fn parts(self) -> bool {
+        matches!(self, Stage::Drained | Stage::Succeeded | Stage::Closing)
+    }
+    /// Connections end as soon as nothing is open on them.
+    pub fn parts_idle(self) -> bool {
         matches!(self, Stage::Drained | Stage::Closing)
     }
     /// SIGTERM has come.
     pub fn stops(self) -> bool {
-        matches!(self, Stage::Stopping | Stage::Closing)
+        matches!(self, Stage::Stopping | Stage::Succeeded | Stage::Closing)
     }
     /// New queries are taken.
     pub fn takes(self) -> bool {
@@ -41,7 +56,7 @@
         match self {
             Stage::Serving => "serving",
             Stage::Draining | Stage::Drained => "drained",
-            Stage::Stopping | Stage::Closing => "stopping",
+            Stage::Stopping | Stage::Succeeded | Stage::Closing => "stopping",
         }
     }
 }
@@ -55,6 +70,8 @@
     Resume,
     /// SIGTERM or SIGINT has come.
     Stop,
+    /// It has come, and a successor serves.
+    Succeed,
 }
 
 /// Why a call changes nothing.
@@ -89,12 +106,18 @@
     pub fn call(&mut self, now: Time, call: Call) -> Result<(), Refused> {
         self.pass(now);
         let next = match (call, self.stage) {
-            (Call::Stop, stage) if stage.stops() => return Ok(()),
+            // A successor that serves only now still takes over what comes; the end is due when it was.
+            (Call::Succeed, Stage::Stopping) => {
+                self.stage = Stage::Succeeded;
+                return Ok(());
+            }
+            (Call::Stop | Call::Succeed, stage) if stage.stops() => return Ok(()),
             (_, stage) if stage.stops() => return Err(Refused::Stopping),
             (Call::Drain, Stage::Serving) => Stage::Draining,
             (Call::Drain, _) => return Ok(()),
             (Call::Resume, _) => Stage::Serving,
             (Call::Stop, _) => Stage::Stopping,
+            (Call::Succeed, _) => Stage::Succeeded,
         };
         (self.stage, self.since) = (next, now);
         Ok(())
@@ -103,7 +126,7 @@
     /// When time alone leads on.
     pub fn due(&self) -> Option<Time> {
         match self.stage {
-            Stage::Draining => Some(self.since.after(LINGER)),
+            Stage::Draining | Stage::Succeeded => Some(self.since.after(LINGER)),
             // Where deadlines are short, clients keep the connections they have for longer: another gatherer may be down.
             Stage::Stopping => Some(self.since.after(LINGER + LEAST_GRACE.saturating_sub(self.longest))),
             Stage::Serving | Stage::Drained | Stage::Closing => None,
@@ -114,7 +137,7 @@
     pub fn pass(&mut self, now: Time) -> bool {
         let next = match (self.due(), self.stage) {
             (Some(due), Stage::Draining) if due <= now => Stage::Drained,
-            (Some(due), Stage::Stopping) if due <= now => Stage::Closing,
+            (Some(due), Stage::Stopping | Stage::Succeeded) if due <= now => Stage::Closing,
             _ => return false,
         };
         (self.stage, self.since) = (next, now);
@@ -153,17 +176,30 @@
         }
     }
 
+    #[test]
+    fn a_gatherer_that_is_succeeded_stays_healthy_and_lets_nobody_in() {
+        let mut stages = Stages::new(Time(0), Duration::from_secs(6));
+        assert_eq!(stages.call(Time(0), Call::Stop), Ok(()));
+        assert!(!stages.stage().healthy() && stages.stage().accepts());
+        assert_eq!(stages.call(Time(400 * MS), Call::Succeed), Ok(()));
+        let stage = stages.stage();
+        assert!(stage.healthy() && !stage.accepts() && stage.parts() && !stage.parts_idle() && stage.takes());
+        assert_eq!(stages.due(), Some(Time(600 * MS)));
+        assert!(stages.pass(Time(600 * MS)) && !stages.stage().takes());
+    }
+
     proptest! {
         #[test]
-        fn nothing_leads_back_from_sigterm(calls in prop::collection::vec((0..3_u8, 0..2000_u64), 1..40)) {
+        fn nothing_leads_back_from_sigterm(calls in prop::collection::vec((0..4_u8, 0..2000_u64), 1..40)) {
             let (mut stages, mut now, mut stopped) = (Stages::new(Time(0), Duration::from_secs(6)), 0, false);
             for (call, gap) in calls {
                 now += gap * MS;
-                let call = [Call::Drain, Call::Resume, Call::Stop][usize::from(call)];
+                let call = [Call::Drain, Call::Resume, Call::Stop, Call::Succeed][usize::from(call)];
                 let done = stages.call(Time(now), call);
-                prop_assert_eq!(done.is_err(), stopped && call != Call::Stop);
-                stopped |= call == Call::Stop;
-                prop_assert_eq!(stopped, matches!(stages.stage(), Stage::Stopping | Stage::Closing));
+                let stops = matches!(call, Call::Stop | Call::Succeed);
+                prop_assert_eq!(done.is_err(), stopped && !stops);
+                stopped |= stops;
+                prop_assert_eq!(stopped, stages.stage().stops());
                 prop_assert_eq!(stages.stage() == Stage::Serving, !stopped && call == Call::Resume);
             }
         }
--- a/src/transport/gate.rs
+++ b/src/transport/gate.rs
@@ -90,7 +90,11 @@
     }
     /// Waits until connections are to end as soon as nothing is open on them.
     pub async fn parting(&self) {
-        self.reaches(Stage::parts).await;
+        self.reaches(Stage::parts_idle).await;
+    }
+    /// Waits until connections are no longer let in.
+    pub async fn shut(&self) {
+        self.reaches(|stage| !stage.accepts()).await;
     }
     async fn reaches(&self, there: impl Fn(Stage) -> bool) {
         let mut stage = self.stage.subscribe();
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -5,6 +5,7 @@
 use crate::limits::crowd::{Record, Source, Why};
 use crate::limits::{Side, Turnstile};
 use crate::protocol::http::{self, Request, Response};
+use crate::service::Stage;
 use bytes::{Bytes, BytesMut};
 use std::future::Future;
 use std::io;
@@ -50,6 +51,12 @@
     fn accept(&self) -> Accepting<'_>;
 }
 
+impl<A: Accept> Accept for Rc<A> {
+    fn accept(&self) -> Accepting<'_> {
+        A::accept(self)
+    }
+}
+
 impl Accept for TcpListener {
     fn accept(&self) -> Accepting<'_> {
         Box::pin(async move {
@@ -77,6 +84,10 @@
 pub async fn accept<F: Front + 'static>(listener: impl Accept, front: Rc<F>, gate: Rc<Gate>) {
     let mut turnstile = Turnstile::default();
     loop {
+        // What waits in the queue then is the successor's.
+        if gate.stage() == Stage::Succeeded {
+            return;
+        }
         let mut begun = gate.places().now();
         let waiting = tokio::select! {
             biased;
@@ -90,7 +101,7 @@
                 let accepted = tokio::select! {
                     biased;
                     accepted = listener.accept() => accepted,
-                    () = gate.closing() => return,
+                    () = gate.shut() => return,
                 };
                 begun = gate.places().now();
                 accepted
@@ -115,7 +126,7 @@
             }
         }
         if let Some(pause) = turnstile.passed(begun, gate.places().now()) {
-            if !gate.stage().takes() {
+            if !gate.stage().accepts() {
                 return;
             }
             tokio::time::sleep(pause).await;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,6 +6,7 @@
 pub mod index_servers;
 pub mod listener;
 pub mod places;
+pub mod relay;
 pub mod stream;
 pub mod watch;
 pub mod workers;
--- a/src/transport/places.rs
+++ b/src/transport/places.rs
@@ -14,6 +14,8 @@
 
 /// Calls that may wait for a connection, for each descriptor that there is: wide queries wait part by part.
 const WAITS_EACH: usize = 2;
+/// How long one that is called back is waited for.
+const RECALL: Duration = Duration::from_millis(20);
 /// Share of the servers' floor that may be coming up at once.
 const OPENING: usize = 4;
 
@@ -107,6 +109,21 @@
         }
     }
 
+    /// Divides descriptors and bytes anew, and calls back what is held beyond that, as far as it is held loosely.
+    pub async fn replan(&self, plan: Plan, bytes: usize) {
+        self.bytes.borrow_mut().resize(bytes, plan.usable);
+        self.descriptors.borrow_mut().replan(plan);
+        self.freed.notify_waiters();
+        for _ in 0..self.descriptors(|all| all.excess()) {
+            let freed = self.freed();
+            let lender = self.descriptors(|all| all.lender(Side::Files));
+            let Some(lender) = lender.filter(|_| self.descriptors(|all| all.excess()) > 0) else { return };
+            self.recall(lender);
+            // Whoever is called may have nothing left to give: it is not waited for for long.
+            let _ = tokio::time::timeout(RECALL, freed).await;
+        }
+    }
+
     /// Asks a side to let one go.
     pub fn recall(&self, side: Side) {
         self.recalls[side as usize].wanted.set(true);
--- /dev/null
+++ b/src/transport/relay.rs
@@ -0,0 +1,189 @@
+//! Between the two processes of an upgrade: a Unix socket, messages, and the listening socket beside one of them.
+
+use crate::protocol::handover::{self, Message, Unusable};
+use bytes::BytesMut;
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags,
+};
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::os::fd::{BorrowedFd, OwnedFd};
+use std::os::linux::net::SocketAddrExt;
+use std::os::unix::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::net::{UnixListener, UnixStream};
+
+/// Reading takes at most so much at once.
+const READ: usize = 64 * 1024;
+
+/// Why the other process is no longer heard.
+#[derive(Debug, thiserror::Error)]
+pub enum Lost {
+    /// The connection.
+    #[error("{0}")]
+    Ended(#[from] io::Error),
+    /// What it said.
+    #[error("{0}")]
+    Unusable(#[from] Unusable),
+}
+
+/// Where the processes of one gatherer find each other: by a file of a private folder, or where that cannot be written
+/// by a name without a file.
+#[derive(Clone, Debug)]
+pub struct Meeting {
+    path: PathBuf,
+    name: String,
+}
+
+impl Meeting {
+    /// For the gatherer whose clients connect there.
+    pub fn new(folder: &Path, listen: &str) -> Meeting {
+        let name =
+            format!("clayshore-{}-{}", rustix::process::geteuid().as_raw(), listen.replace([':', '/'], "-"));
+        Meeting { path: folder.join(format!("{name}.sock")), name }
+    }
+
+    fn nameless(&self) -> io::Result<SocketAddr> {
+        SocketAddr::from_abstract_name(&self.name)
+    }
+
+    /// Waits there for further starts. The file of a process that is no longer there, or hands over, is replaced.
+    pub fn listen(&self) -> io::Result<UnixListener> {
+        let beside = self.path.with_extension(std::process::id().to_string());
+        let by_file = || {
+            // What a process of this id left behind is in the way.
+            let _ = std::fs::remove_file(&beside);
+            let listener = UnixListener::bind(&beside)?;
+            std::fs::rename(&beside, &self.path)?;
+            Ok(listener)
+        };
+        by_file().or_else(|error: io::Error| {
+            let listener = std::os::unix::net::UnixListener::bind_addr(&self.nameless()?)?;
+            listener.set_nonblocking(true)?;
+            log::warn!("{}: {error}; further starts find this one by name", self.path.display());
+            UnixListener::from_std(listener)
+        })
+    }
+
+    /// Finds a process that waits there.
+    pub async fn find(&self) -> Option<Relay> {
+        let stream = match UnixStream::connect(&self.path).await {
+            Ok(stream) => stream,
+            Err(_) => {
+                let stream = std::os::unix::net::UnixStream::connect_addr(&self.nameless().ok()?).ok()?;
+                stream.set_nonblocking(true).ok()?;
+                UnixStream::from_std(stream).ok()?
+            }
+        };
+        Relay::new(stream)
+    }
+
+    /// Leaves no file behind.
+    pub fn leave(&self) {
+        // It may be gone, or never have been.
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+/// A connection to the other process.
+#[derive(Debug)]
+pub struct Relay {
+    stream: UnixStream,
+    buffer: BytesMut,
+}
+
+impl Relay {
+    /// A connection, where the other end belongs to the same user.
+    pub fn new(stream: UnixStream) -> Option<Relay> {
+        let same = |user: u32| user == rustix::process::geteuid().as_raw();
+        let peer = stream.peer_cred().ok().filter(|peer| same(peer.uid()));
+        // Guards against any other user's process that takes the name: it is given nothing and believed nothing.
+        peer.is_some().then(|| Relay { stream, buffer: BytesMut::new() })
+    }
+
+    /// Sends a message.
+    pub async fn send(&mut self, message: &Message) -> Result<(), Lost> {
+        let bytes = handover::encode(message)?;
+        Ok(self.stream.write_all(&bytes).await?)
+    }
+
+    /// Sends a message with a socket beside it.
+    pub async fn send_with(&mut self, message: &Message, socket: BorrowedFd<'_>) -> Result<(), Lost> {
+        let bytes = handover::encode(message)?;
+        let sent = self
+            .stream
+            .async_io(Interest::WRITABLE, || {
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+                let mut beside = SendAncillaryBuffer::new(&mut space);
+                let sockets = [socket];
+                if !beside.push(SendAncillaryMessage::ScmRights(&sockets)) {
+                    return Err(io::ErrorKind::OutOfMemory.into());
+                }
+                let sent = rustix::net::sendmsg(
+                    &self.stream,
+                    &[IoSlice::new(&bytes)],
+                    &mut beside,
+                    SendFlags::NOSIGNAL,
+                );
+                sent.map_err(io::Error::from)
+            })
+            .await?;
+        Ok(self.stream.write_all(&bytes[sent..]).await?)
+    }
+
+    /// The next message.
+    pub async fn receive(&mut self) -> Result<Message, Lost> {
+        loop {
+            if let Some(message) = handover::take(&mut self.buffer)? {
+                return Ok(message);
+            }
+            self.buffer.reserve(READ);
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+            }
+        }
+    }
+
+    /// The next message, and the socket that comes beside it: that one also where the message is of no use.
+    pub async fn receive_with(&mut self) -> (Result<Message, Lost>, Option<OwnedFd>) {
+        let mut socket = None;
+        loop {
+            match handover::take(&mut self.buffer) {
+                Ok(Some(message)) => return (Ok(message), socket),
+                Ok(None) => {}
+                Err(error) => return (Err(error.into()), socket),
+            }
+            match self.read_with(&mut socket).await {
+                Ok(0) => return (Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()), socket),
+                Ok(_) => {}
+                Err(error) => return (Err(error.into()), socket),
+            }
+        }
+    }
+
+    async fn read_with(&mut self, socket: &mut Option<OwnedFd>) -> io::Result<usize> {
+        let mut bytes = vec![0; READ];
+        let (count, came) = self
+            .stream
+            .async_io(Interest::READABLE, || {
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+                let mut beside = RecvAncillaryBuffer::new(&mut space);
+                let mut parts = [IoSliceMut::new(&mut bytes)];
+                let read =
+                    rustix::net::recvmsg(&self.stream, &mut parts, &mut beside, RecvFlags::CMSG_CLOEXEC)?;
+                let sockets = beside.drain().filter_map(|message| match message {
+                    RecvAncillaryMessage::ScmRights(sockets) => Some(sockets),
+                    _ => None,
+                });
+                Ok((read.bytes, sockets.flatten().last()))
+            })
+            .await?;
+        self.buffer.extend_from_slice(&bytes[..count]);
+        if came.is_some() {
+            *socket = came;
+        }
+        Ok(count)
+    }
+}
