--- a/src/program/upgrade.rs
+++ b/src/program/upgrade.rs
@@ -21,7 +21,7 @@
 use tokio::time::{Instant, timeout};
 
 /// How long the other process may take to answer before it counts as hung.
-const ANSWER: Duration = Duration::from_secs(1);
+const ANSWER: Duration = Duration::from_secs(2);
 /// How long a successor waits for discovery at most: it has the list that was passed on.
 const DISCOVERY: Duration = Duration::from_secs(1);
 /// How often one that has to wait asks again.
