--- a/tests/upgrades.rs
+++ b/tests/upgrades.rs
@@ -66,7 +66,7 @@
         while go.load(Ordering::Relaxed) {
             let id = format!("{name}.{asked}");
             let class = if asked % 2 == 0 { "seal" } else { "search" };
-            let mut ask = |stream: &mut std::net::TcpStream| {
+            let ask = |stream: &mut std::net::TcpStream| {
                 query(stream, &id, class)?;
                 response(stream)
             };
