Be found by a further start from the first yes on; hear starts beside one another

Its folder still had two configurations, the first's and the second's, and no third: both processes said ready, and the second had taken nothing over. src/program/upgrade.rs made the file by which a start finds this process in a task that ran after 'serving on' and the yes (serving(), wait_for_successors()); a start in between found nobody and listened beside it by SO_REUSEPORT. The test of a mute caller failed for the same reason at once: 'connected: No such file or directory'. Change: the file is made before the yes. A caller that says nothing no longer holds up the next: two are heard at once.

--- a/src/program/upgrade.rs
+++ b/src/program/upgrade.rs
@@ -14,9 +14,10 @@
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, UnixListener};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, Semaphore, mpsc};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
@@ -30,6 +31,8 @@
 const ADDRESS: Duration = Duration::from_secs(5);
 /// Connections that may wait in the queue.
 const QUEUE: u32 = 1024;
+/// Starts that are heard at once.
+const CALLERS: usize = 2;
 /// Changes that may wait to be told to the other process; operators make them by hand.
 const CHANGES: usize = 256;
 
@@ -213,8 +216,10 @@
             // The first message of this channel: there is room.
             let _ = other.try_send(Message::Serving);
         }
+        // Guards a start that comes right after the yes: it has to find this process by then, or it would listen beside it.
+        let meeting = self.meeting.listen();
         let upgrade = self.clone();
-        spawn_local(async move { upgrade.wait_for_successors().await });
+        spawn_local(async move { upgrade.wait_for_successors(meeting).await });
     }
 
     /// What SIGTERM means, said to a successor too.
@@ -243,16 +248,16 @@
         self.share().await;
     }
 
-    async fn wait_for_successors(self: Rc<Self>) {
-        let mut said = false;
+    async fn wait_for_successors(self: Rc<Self>, mut meeting: io::Result<UnixListener>) {
+        if let Err(error) = &meeting {
+            log::warn!("upgrade: a further start cannot find this one yet: {error}");
+        }
         let meeting = loop {
-            match self.meeting.listen() {
+            match meeting {
                 Ok(meeting) => break meeting,
-                Err(error) => {
-                    if !std::mem::replace(&mut said, true) {
-                        log::warn!("upgrade: a further start cannot find this one yet: {error}");
-                    }
+                Err(_) => {
                     tokio::time::sleep(AGAIN).await;
+                    meeting = self.meeting.listen();
                 }
             }
         };
@@ -260,34 +265,44 @@
     }
 
     async fn meet(self: &Rc<Self>, meeting: UnixListener) {
+        let callers = Arc::new(Semaphore::new(CALLERS));
         loop {
             let Ok((stream, _)) = meeting.accept().await else {
                 tokio::time::sleep(AGAIN).await;
                 continue;
             };
-            let Some(mut relay) = Relay::new(stream) else { continue };
-            let asked = match timeout(ANSWER, relay.receive()).await {
-                Ok(Ok(Message::Join { listen })) if listen == self.listen.to_string() => Ok(()),
-                Ok(Ok(other)) => Err(format!("{other:?}")),
-                Ok(Err(lost)) => Err(lost.to_string()),
-                Err(_) => Err("it says nothing".to_owned()),
-            };
-            if let Err(why) = asked {
-                log::warn!("upgrade: no successor: {why}");
-                continue;
-            }
-            let joined = match self.gate.stage().stops() {
-                true => Err(crate::service::succession::Busy),
-                false => self.succession.borrow_mut().join(),
-            };
-            if joined.is_err() {
-                // Whether it hears it or not, it has to wait.
-                let _ = timeout(ANSWER, relay.send(&Message::Busy)).await;
-                continue;
-            }
+            let Some(relay) = Relay::new(stream) else { continue };
+            // Guards against one that connects and says nothing: the next is heard beside it. Past the bound it waits.
+            let Ok(place) = callers.clone().acquire_owned().await else { return };
             let upgrade = self.clone();
-            spawn_local(async move { upgrade.hand_over(relay).await });
+            spawn_local(async move {
+                let relay = upgrade.admit(relay).await;
+                drop(place);
+                if let Some(relay) = relay {
+                    upgrade.hand_over(relay).await;
+                }
+            });
+        }
+    }
+
+    /// Hears what one that connected wants; its connection, if it is the successor from now on.
+    async fn admit(&self, mut relay: Relay) -> Option<Relay> {
+        let asked = match timeout(ANSWER, relay.receive()).await {
+            Ok(Ok(Message::Join { listen })) if listen == self.listen.to_string() => Ok(()),
+            Ok(Ok(other)) => Err(format!("{other:?}")),
+            Ok(Err(lost)) => Err(lost.to_string()),
+            Err(_) => Err("it says nothing".to_owned()),
+        };
+        if let Err(why) = asked {
+            log::warn!("upgrade: no successor: {why}");
+            return None;
+        }
+        if !self.gate.stage().stops() && self.succession.borrow_mut().join().is_ok() {
+            return Some(relay);
         }
+        // Whether it hears it or not, it has to wait.
+        let _ = timeout(ANSWER, relay.send(&Message::Busy)).await;
+        None
     }
 
     /// The predecessor's side, until the successor's end or its own.
--- a/tests/upgrades.rs
+++ b/tests/upgrades.rs
@@ -7,7 +7,8 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpListener;
 use std::os::unix::fs::MetadataExt;
-use std::os::unix::net::UnixListener;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::{self, JoinHandle};
@@ -43,6 +44,12 @@
         config["discovery"] = silent.local_addr().expect("an address").to_string().into();
         (config, silent)
     }
+    /// Where its processes find each other.
+    fn meeting(&self) -> PathBuf {
+        let user = std::fs::metadata(&self.folder.0).expect("a folder").uid();
+        let listen = self.config["listen"].as_str().expect("an address").replace(':', "-");
+        self.folder.0.join(format!("clayshore-{user}-{listen}.sock"))
+    }
     fn parts(&self) -> usize {
         self.worker.parts() + self.other.parts()
     }
@@ -261,6 +268,16 @@
     first.logged("upgrade: the successor has ended, this process goes on");
 }
 
+#[test]
+fn one_that_connects_and_says_nothing_holds_up_no_upgrade() {
+    let fleet = Fleet::new("mute");
+    let first = Gatherer::start(&fleet.folder, &fleet.config);
+    let _mute = UnixStream::connect(fleet.meeting()).expect("connected");
+    let second = Gatherer::start(&fleet.folder, &fleet.again());
+    second.logged("upgrade: taking over");
+    first.logged("upgrade: no successor: it says nothing");
+}
+
 #[test]
 fn a_third_start_waits_for_the_end_of_the_upgrade() {
     let fleet = Fleet::new("third");
@@ -302,9 +319,7 @@
 #[test]
 fn what_is_no_hand_over_is_refused_with_one_line() {
     let fleet = Fleet::new("foreign");
-    let user = std::fs::metadata(&fleet.folder.0).expect("a folder").uid();
-    let listen = fleet.config["listen"].as_str().expect("an address").replace(':', "-");
-    let path = fleet.folder.0.join(format!("clayshore-{user}-{listen}.sock"));
+    let path = fleet.meeting();
     let cases: [(&[u8], &str); 4] = [
         (b"HTTP/1.1 400 Bad Request\r\nContent-Type: text/plain\r\nConnection: close\r\nServer: other\r\n\r\n", "form of a hand-over"),
         (b"clayshore-handover 0 2 0\n{}", "version 0, not 1"),
