Call back from whoever is most over its floor when two processes share descriptors

Cause: Places::replan asked Descriptors::lender(Files), which answers the asking side itself where that holds its floor; nobody listens for a recall of files, so each step waited 20 ms in vain and nothing shrank. Change: Descriptors::yields, the side most over its floor with something loose. Tests (tests/succession.rs): two processes push a cold worker no more than one; a successor goes on with what was learned, and judges a replaced worker anew.

--- a/src/limits/descriptors.rs
+++ b/src/limits/descriptors.rs
@@ -107,6 +107,11 @@
     pub fn replan(&mut self, plan: Plan) {
         self.plan = plan;
     }
+    /// Who is to let one go where more is held than there is: the side that is most over its floor with something loose.
+    pub fn yields(&self) -> Option<Side> {
+        let over = |side: &Side| self.over(*side as usize) > 0 && self.loose(*side as usize) > 0;
+        SIDES.into_iter().filter(over).max_by_key(|side| self.over(*side as usize))
+    }
     /// What is held beyond what there is.
     pub fn excess(&self) -> usize {
         self.held.iter().sum::<usize>().saturating_sub(self.plan.usable)
--- a/src/transport/places.rs
+++ b/src/transport/places.rs
@@ -116,9 +116,9 @@
         self.freed.notify_waiters();
         for _ in 0..self.descriptors(|all| all.excess()) {
             let freed = self.freed();
-            let lender = self.descriptors(|all| all.lender(Side::Files));
-            let Some(lender) = lender.filter(|_| self.descriptors(|all| all.excess()) > 0) else { return };
-            self.recall(lender);
+            let side = self.descriptors(|all| all.yields().filter(|_| all.excess() > 0));
+            let Some(side) = side else { return };
+            self.recall(side);
             // Whoever is called may have nothing left to give: it is not waited for for long.
             let _ = tokio::time::timeout(RECALL, freed).await;
         }
--- /dev/null
+++ b/tests/succession.rs
@@ -0,0 +1,148 @@
+//! Two processes of one gatherer at the core: together they push, hold and use no more than one, and the second goes on
+//! with what the first has learned.
+
+use bytes::BytesMut;
+use clayshore::api::*;
+use clayshore::limits::{Descriptors, Plan, Side};
+use clayshore::program::config::Config;
+use clayshore::protocol::handover::{self, Message, State};
+use clayshore::routing::{Ask, AskPart, Core, End, Listing, Member, Order};
+use proptest::prelude::*;
+use std::time::Duration;
+
+const START: Time = Time(1_700_000_000_000_000_000);
+
+fn after(ms: u64) -> Time {
+    START.after(Duration::from_millis(ms))
+}
+
+fn list(since: [Option<Time>; 2]) -> Listing {
+    let member = |(name, since): (&str, Option<Time>)| Member {
+        name: name.to_owned(),
+        address: name.to_owned(),
+        zone: String::new(),
+        cell: 0,
+        status: Status::Active,
+        units: 1.0,
+        since,
+    };
+    Listing {
+        revision: 1,
+        complete: true,
+        members: ["w1", "w2"].into_iter().zip(since).map(member).collect(),
+    }
+}
+
+fn core(processes: u32, since: [Option<Time>; 2]) -> Core {
+    let json = serde_json::from_str(include_str!("scenario/platform.json")).expect("JSON");
+    let mut core = Core::new(Config::from_json(&json, |_| None).expect("a configuration").contracts);
+    core.share(processes);
+    core.learn(START, &list(since), false);
+    core.turn(START);
+    core
+}
+
+/// Asks for a part of 0.2 s and ends its attempts at once: at a server that is down they are refused. The servers that
+/// were tried.
+fn ask(core: &mut Core, now: Time, down: &str) -> Vec<String> {
+    let part = AskPart { shard: ShardId(0), weight: 1.0, hint: Some(Duration::from_millis(200)), key: None };
+    let (class, left) = (ClassId(0), Duration::from_secs(5));
+    let (text, parts) = (Default::default(), vec![part]);
+    let ask = Ask { label: "a".into(), class, tenant: None, left, retry: false, text, parts };
+    core.offer(now, ask).expect("there is room");
+    let mut tried = Vec::new();
+    for _ in 0..4 {
+        for order in core.turn(now) {
+            let Order::Call { leaf, parts } = order else { continue };
+            let name = core.name(leaf).expect("a name").to_owned();
+            let outcome = if name == down { Outcome::Refused } else { Outcome::Done };
+            parts.iter().for_each(|part| core.ended(now, part.ticket, End::bare(outcome)));
+            tried.push(name);
+        }
+    }
+    tried
+}
+
+/// What the first passes on, as the second reads it.
+fn passed(core: &Core) -> State {
+    let (list, bans, learned) = (core.list_told(), core.bans().clone(), core.learned());
+    let message = Message::State(Box::new(State { list, bans, drained: false, learned }));
+    let mut bytes = BytesMut::from(&handover::encode(&message).expect("encoded")[..]);
+    match handover::take(&mut bytes) {
+        Ok(Some(Message::State(state))) => *state,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn successor(state: State, now: Time) -> Core {
+    let json = serde_json::from_str(include_str!("scenario/platform.json")).expect("JSON");
+    let mut core = Core::new(Config::from_json(&json, |_| None).expect("a configuration").contracts);
+    core.take_over(now, &state.list, state.bans, state.learned);
+    core.turn(now);
+    core
+}
+
+#[test]
+fn two_processes_push_a_cold_worker_no_more_than_one() {
+    // Guards the rule on cold workers while an upgrade goes on: both processes are one gatherer to it.
+    let pushed = |processes: u32| {
+        let mut cores: Vec<Core> = (0..processes).map(|_| core(processes, [Some(START), None])).collect();
+        (0..150_u64).fold(0, |pushed, at| {
+            let count = cores.len();
+            let tried = ask(&mut cores[at as usize % count], after(at * 10), "");
+            pushed + tried.iter().filter(|name| *name == "w1").count()
+        })
+    };
+    let (one, two) = (pushed(1), pushed(2));
+    assert!(one > 0 && two <= one, "{one} parts from one process, {two} from two");
+}
+
+#[test]
+fn a_successor_goes_on_with_what_was_learned() {
+    let mut first = core(1, [None, None]);
+    // A worker that refuses is found out, and left alone.
+    let tried: Vec<String> = (0..20).flat_map(|at| ask(&mut first, after(at * 20), "w1")).collect();
+    assert!(tried.iter().any(|name| name == "w1"));
+    assert_eq!(first.avoided(), 1);
+    let mut second = successor(passed(&first), after(400));
+    assert_eq!(second.avoided(), 1);
+    assert!((0..20).all(|at| ask(&mut second, after(400 + at * 5), "w1") == ["w2"]));
+    // A fresh start, which is what a hand-over that cannot be used costs, finds it out anew.
+    let mut fresh = core(1, [None, None]);
+    let tried: Vec<String> = (0..20).flat_map(|at| ask(&mut fresh, after(400 + at * 5), "w1")).collect();
+    assert!(tried.iter().any(|name| name == "w1"));
+}
+
+#[test]
+fn what_was_learned_of_a_process_that_was_replaced_is_void() {
+    let mut first = core(1, [None, None]);
+    (0..20).for_each(|at| drop(ask(&mut first, after(at * 20), "w1")));
+    let mut state = passed(&first);
+    state.list = list([Some(after(300)), None]);
+    assert_eq!((first.avoided(), successor(state, after(400)).avoided()), (1, 0));
+}
+
+proptest! {
+    #[test]
+    fn descriptors_that_are_shared_leave_nobody_below_its_floor(
+        taken in prop::collection::vec(0..5_usize, 0..200),
+        limit in 128..600_usize,
+    ) {
+        let sides = [Side::Clients, Side::Workers, Side::Discovery, Side::Files, Side::Operators];
+        let mut all = Descriptors::new(Plan::new(limit, 20, 8).expect("enough"));
+        for side in taken {
+            // Where all are held, it gets none.
+            let _ = all.take(sides[side]);
+        }
+        all.replan(Plan::new(limit / 2, 20, 8).expect("enough"));
+        // All is held loosely: each is called back in turn, until the half is kept.
+        while all.excess() > 0 {
+            let before = all.excess();
+            let side = all.yields().expect("someone holds more than its floor");
+            prop_assert!(all.held(side) > all.plan().floors[side as usize]);
+            prop_assert!(all.take(side).is_err(), "nobody gets more meanwhile");
+            all.give_back(side);
+            prop_assert_eq!(all.excess(), before - 1);
+        }
+    }
+}
