Read an operator address of null as none, so that LB_OPERATOR fills it in

Cause: src/program/config.rs took a null for a text that is missing, and would not have started with the variable set. Seen by the test that is added, not in service.

--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -78,7 +78,7 @@
     /// Checks the file's content.
     pub fn from_json(json: &Value, variable: impl Fn(&str) -> Option<String>) -> Result<Config, Faulty> {
         let text = |key: &str, name: &str| {
-            match json.get(key) {
+            match json.get(key).filter(|value| !value.is_null()) {
                 Some(value) => value.as_str().map(str::to_owned),
                 None => variable(name),
             }
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -266,6 +266,22 @@
         let error = clayshore::program::config::Config::from_json(&bad, |_| None).expect_err(at).to_string();
         assert!(error.contains(message), "{at}: {error}");
     }
+    // Operators are called at an address of the file or of the environment; without either, nowhere.
+    let operated = |value: serde_json::Value, variable: Option<&str>| {
+        let mut json = good.clone();
+        json["operator"] = value;
+        let variable = variable.map(str::to_owned);
+        clayshore::program::config::Config::from_json(&json, |name| {
+            variable.clone().filter(|_| name == "LB_OPERATOR")
+        })
+        .map(|config| config.operator.map(|address| address.to_string()))
+        .map_err(|error| error.to_string())
+    };
+    let null = serde_json::Value::Null;
+    assert_eq!(operated(null.clone(), None), Ok(None));
+    assert_eq!(operated(null, Some("127.0.0.1:8")), Ok(Some("127.0.0.1:8".to_owned())));
+    assert_eq!(operated("127.0.0.1:7".into(), Some("127.0.0.1:8")), Ok(Some("127.0.0.1:7".to_owned())));
+    assert_eq!(operated("x".into(), None), Err("operator: no address \"x\"".to_owned()));
     let toml = include_str!("scenario/opensearch.toml");
     let cases = [
         ("zone = \"a\"", "colour = 1\nzone = \"a\"", "colour"),
