Tell the records of workers that are taken out by hand and back

Need: the report after an incident should show what staff did; records named a worker that is out as draining. Change: a state OutByHand of the records' worker events, told once for each change, not for each call. Test: out twice, a list in between, back as cold.

--- a/src/records/line.rs
+++ b/src/records/line.rs
@@ -105,6 +105,8 @@
     Suspect,
     /// It answers again.
     Trusted,
+    /// An operator has taken it out.
+    OutByHand,
 }
 
 /// Why bytes are no line that counts.
--- a/src/routing/broker.rs
+++ b/src/routing/broker.rs
@@ -117,7 +117,7 @@
     /// An operator takes a server out by hand, or back; false if no list ever named it.
     pub fn by_hand(&self, server: &str, out: bool) -> bool {
         let now = self.0.clock.now();
-        let known = self.core(|core| if out { core.disable(server) } else { core.enable(now, server) });
+        let known = self.core(|core| if out { core.disable(now, server) } else { core.enable(now, server) });
         self.0.news.notify_one();
         known
     }
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -418,13 +418,13 @@
 
     /// Takes a server out by hand until [`Core::enable`], whatever the list says meanwhile; false if no list ever named
     /// it, and then nothing changes.
-    pub fn disable(&mut self, name: &str) -> bool {
-        self.by_hand(name, |bans| bans.disable(name))
+    pub fn disable(&mut self, now: Time, name: &str) -> bool {
+        self.by_hand(now, name, |bans| bans.disable(name))
     }
 
     /// Takes a server back that was taken out by hand; false if no list ever named it.
     pub fn enable(&mut self, now: Time, name: &str) -> bool {
-        self.by_hand(name, |bans| bans.enable(now, name))
+        self.by_hand(now, name, |bans| bans.enable(now, name))
     }
 
     /// So many processes are this one gatherer, and share what it may hold and push.
@@ -467,7 +467,7 @@
         self.orders.extend(orders);
     }
 
-    fn by_hand(&mut self, name: &str, change: impl FnOnce(&mut Bans) -> bool) -> bool {
+    fn by_hand(&mut self, now: Time, name: &str, change: impl FnOnce(&mut Bans) -> bool) -> bool {
         let Some(leaf) = self.roster.known(name) else { return false };
         if change(&mut self.bans) {
             let out = self.bans.is_out(name);
@@ -475,12 +475,17 @@
                 .push(Order::Trace(format!("worker {name} is {} by hand", if out { "out" } else { "back" })));
             if let Some(member) = self.listed.get(&leaf).cloned() {
                 let entry = self.list(leaf, &member);
+                self.tell_states(now, std::slice::from_ref(&entry), Vec::new());
                 self.inbox.push(Event::Membership(Membership::Delta([entry].into())));
             }
         }
         true
     }
 
+    fn is_out(&self, leaf: LeafId) -> bool {
+        self.listed.get(&leaf).is_some_and(|member| self.bans.is_out(&member.name))
+    }
+
     /// Who is out by hand.
     pub fn bans(&self) -> &Bans {
         &self.bans
@@ -493,9 +498,20 @@
         }
         let (revision, complete, workers) = (listing.revision, listing.complete, self.listed.len());
         self.news.push(Body::List { revision, complete, workers });
+        let gone = self.told.keys().filter(|leaf| !self.listed.contains_key(leaf));
+        let gone = gone.map(|leaf| (*leaf, WorkerState::Gone)).collect();
+        self.tell_states(now, entries, gone);
+    }
+
+    /// Tells the records how these workers are seen now, where that has changed, and which are gone.
+    fn tell_states(&mut self, now: Time, entries: &[Entry], gone: Vec<(LeafId, WorkerState)>) {
+        if self.figures.is_none() {
+            return;
+        }
         let warm_up = self.contracts.settings.warm_up;
         let state = |entry: &Entry| match entry.status {
             Status::Gone => WorkerState::Gone,
+            Status::Draining if self.is_out(entry.leaf) => WorkerState::OutByHand,
             Status::Draining => WorkerState::Draining,
             Status::Active if entry.since.is_some_and(|since| now.since(since) < warm_up) => {
                 WorkerState::Cold
@@ -503,8 +519,7 @@
             Status::Active => WorkerState::Active,
         };
         let mut states: Vec<(LeafId, WorkerState)> = entries.iter().map(|e| (e.leaf, state(e))).collect();
-        let gone = self.told.keys().filter(|leaf| !self.listed.contains_key(leaf));
-        states.extend(gone.map(|leaf| (*leaf, WorkerState::Gone)));
+        states.extend(gone);
         for (leaf, state) in states {
             let before = match state {
                 WorkerState::Gone => self.told.remove(&leaf),
--- a/tests/bans.rs
+++ b/tests/bans.rs
@@ -2,6 +2,7 @@
 
 use clayshore::api::*;
 use clayshore::program::config::Config;
+use clayshore::records::line::{Body, WorkerState};
 use clayshore::routing::{Ask, AskPart, Core, End, Listing, Member, Order};
 use proptest::prelude::*;
 use std::time::Duration;
@@ -49,7 +50,7 @@
     let warm =
         (0..200).filter(|at| ask(&mut core, START.after(Duration::from_millis(at * 20))) == ["w1"]).count();
     let now = START.after(Duration::from_secs(5));
-    assert!(core.disable("w1") && core.disable("w1"));
+    assert!(core.disable(now, "w1") && core.disable(now, "w1"));
     assert!((0..50).all(|_| ask(&mut core, now) == ["w2"]));
     assert!(core.enable(now, "w1"));
     let back =
@@ -62,6 +63,27 @@
     );
 }
 
+#[test]
+fn the_records_tell_of_what_is_done_by_hand() {
+    let mut core = core();
+    core.figures = Some(Default::default());
+    let told = |core: &mut Core| {
+        let states = std::mem::take(&mut core.news).into_iter().filter_map(|body| match body {
+            Body::Worker { worker, state } => Some((worker, state)),
+            _ => None,
+        });
+        states.collect::<Vec<_>>()
+    };
+    let state = |state| vec![("w1".to_owned(), state)];
+    assert!(core.disable(START, "w1") && core.disable(START, "w1"));
+    assert_eq!(told(&mut core), state(WorkerState::OutByHand), "once, however often it is called");
+    // What discovery says meanwhile changes nothing of it.
+    news(&mut core, START, "w1", Status::Active, Some(START));
+    assert_eq!(told(&mut core), []);
+    assert!(core.enable(START, "w1"));
+    assert_eq!(told(&mut core), state(WorkerState::Cold));
+}
+
 proptest! {
     #[test]
     fn nothing_but_the_call_back_undoes_a_ban(
@@ -74,7 +96,7 @@
             let name = ["w1", "w2"][worker];
             match what {
                 0 | 1 => {
-                    prop_assert!(core.disable(name));
+                    prop_assert!(core.disable(now, name));
                     out[worker] = true;
                 }
                 2 => {
@@ -85,7 +107,7 @@
                 4 => news(&mut core, now, name, Status::Gone, None),
                 _ => news(&mut core, now, name, Status::Draining, None),
             }
-            prop_assert!(!core.disable("w3") && !core.enable(now, "w3"));
+            prop_assert!(!core.disable(now, "w3") && !core.enable(now, "w3"));
             let sent = ask(&mut core, now);
             prop_assert!(sent.iter().all(|name| !out[usize::from(name == "w2")]), "{sent:?}, out: {out:?}");
             let listed: Vec<&str> = ["w1", "w2"].into_iter().filter(|name| core.bans().is_out(name)).collect();
