Pass drains to both processes, and let a second that stops leave all to the first

Cause, found by reading the change again and by tests that cause each: a drain during an upgrade reached one process only; a succeeded process that was drained said healthy; a yes to a ban before the state came was undone by that state; SIGTERM at the second had it refuse what waited in the shared queue, and the first was found by no further start after that ('no "upgrade: taking over"'); a first that had hung removed the second's file at its end (Meeting::leave). Change: drains are messages too; stages and succession know both; only an own file is removed; the first is found again once its successor is gone, unless another serves beside it; PUT is 503 until a process serves.

--- a/src/fronts/operators.rs
+++ b/src/fronts/operators.rs
@@ -11,14 +11,27 @@
 use percent_encoding::percent_decode_str;
 use std::rc::Rc;
 
+/// What an operator has changed by a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change<'a> {
+    /// This worker is out.
+    Out(&'a str),
+    /// It is back.
+    Back(&'a str),
+    /// The gatherer is drained.
+    Drained,
+    /// It takes clients again.
+    Resumed,
+}
+
 /// The other process of an upgrade, where there is one.
 pub trait Pair {
     /// Why this process does not serve yet, if it does not.
     fn unready(&self) -> Option<&'static str>;
     /// Whether another still hands over to this one.
     fn succeeds(&self) -> bool;
-    /// An operator has taken a worker out or back here: the other process is to do the same.
-    fn tell(&self, worker: &str, out: bool);
+    /// An operator has changed this here: the other process is to do the same.
+    fn tell(&self, change: Change<'_>);
 }
 
 /// Answers operators' calls.
@@ -68,7 +81,7 @@
         };
         let known = self.broker.by_hand(&id, out);
         if known {
-            self.pair.tell(&id, out);
+            self.pair.tell(if out { Change::Out(&id) } else { Change::Back(&id) });
         }
         match known {
             true if out => Response::text(200, format!("{id} is out")),
@@ -79,7 +92,10 @@
 
     fn call(&self, call: Call) -> Response {
         match self.gate.call(call) {
-            Ok(()) => Response::text(200, self.gate.stage().name()),
+            Ok(()) => {
+                self.pair.tell(if call == Call::Drain { Change::Drained } else { Change::Resumed });
+                Response::text(200, self.gate.stage().name())
+            }
             Err(refused) => Response::text(409, refused.to_string()),
         }
     }
@@ -91,6 +107,12 @@
 
 impl Desk for Operators {
     fn answer(&self, request: &Request) -> Response {
+        // Guards against a yes to what the state that is passed on would undo.
+        if request.method == "PUT"
+            && let Some(why) = self.pair.unready()
+        {
+            return Response::text(503, why);
+        }
         let worker = request.path.strip_prefix("/-/workers/").and_then(|rest| rest.rsplit_once('/'));
         let worker = worker.filter(|(_, call)| matches!(*call, "disable" | "enable"));
         if let Some((id, call)) = worker {
--- a/src/program/upgrade.rs
+++ b/src/program/upgrade.rs
@@ -2,7 +2,7 @@
 //! decided in [`crate::service::succession`]; the ways are weighed in docs/service.md.
 
 use super::process::Allowed;
-use crate::fronts::operators::Pair;
+use crate::fronts::operators::{Change, Pair};
 use crate::protocol::handover::{Message, State};
 use crate::routing::{Broker, Clock};
 use crate::service::stage::Call;
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, UnixListener};
 use tokio::sync::{Notify, Semaphore, mpsc};
-use tokio::task::spawn_local;
+use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, timeout};
 
 /// How long the other process may take to answer before it counts as hung.
@@ -51,6 +51,8 @@
     hurry: Notify,
     waits: Cell<bool>,
     listener: RefCell<Option<Rc<TcpListener>>>,
+    /// The task in which further starts are heard.
+    found: RefCell<Option<AbortHandle>>,
 }
 
 impl Upgrade {
@@ -75,6 +77,7 @@
             hurry: Notify::new(),
             waits: Cell::new(false),
             listener: RefCell::default(),
+            found: RefCell::default(),
         })
     }
 
@@ -113,12 +116,11 @@
                         state.list.members.len(),
                         state.bans.all().count()
                     );
+                    let (upgrade, tell) = (self.clone(), self.connect());
                     self.apply(*state);
                     self.succession.borrow_mut().inherits();
                     self.share().await;
                     log::info!("upgrade: taking over: {passed}");
-                    let upgrade = self.clone();
-                    let tell = upgrade.connect();
                     spawn_local(async move { upgrade.follow(relay, tell).await });
                     return listener;
                 }
@@ -216,26 +218,32 @@
             // The first message of this channel: there is room.
             let _ = other.try_send(Message::Serving);
         }
-        // Guards a start that comes right after the yes: it has to find this process by then, or it would listen beside it.
-        let meeting = self.meeting.listen();
-        let upgrade = self.clone();
-        spawn_local(async move { upgrade.wait_for_successors(meeting).await });
+        self.be_found();
+    }
+
+    /// Has further starts find this process, from now on: one that comes right after the yes, or after a successor that
+    /// had itself found in place of this one and died, would else listen beside it.
+    fn be_found(self: &Rc<Self>) {
+        let (meeting, upgrade) = (self.meeting.listen(), self.clone());
+        let found = spawn_local(async move { upgrade.wait_for_successors(meeting).await });
+        if let Some(before) = self.found.replace(Some(found.abort_handle())) {
+            before.abort();
+        }
     }
 
     /// What SIGTERM means, said to a successor too.
     pub fn stop(&self) -> Call {
+        let stop = self.succession.borrow().stop();
         if let Some(other) = &*self.other.borrow() {
             // One that does not hear it serves a moment later.
             let _ = other.try_send(Message::Stopping);
         }
-        self.succession.borrow().stop()
+        stop
     }
 
     /// The end of the process.
     pub fn end(&self) {
-        if self.succession.borrow().stop() == Call::Stop {
-            self.meeting.leave();
-        }
+        self.meeting.leave();
     }
 
     /// The successor's side: what the predecessor tells, until its end.
@@ -332,6 +340,11 @@
         log::warn!("upgrade: the successor has ended, this process goes on: {lost}");
         self.succession.borrow_mut().successor_gone();
         self.other.take();
+        // Where one that did not wait for this process serves beside it, starts go on finding that one.
+        let found = self.meeting.is_own() || self.meeting.find().await.is_some();
+        if !found && !self.gate.stage().stops() {
+            self.be_found();
+        }
         self.share().await;
     }
 
@@ -368,7 +381,13 @@
                     let _ = self.gate.call(Call::Succeed);
                 }
             }
-            Message::Stopping => self.hurry.notify_one(),
+            // One that stops says no to both, and they are the other's.
+            Message::Drain => drop(self.gate.call(Call::Drain).ok()),
+            Message::Resume => drop(self.gate.call(Call::Resume).ok()),
+            Message::Stopping => {
+                self.succession.borrow_mut().other_stops();
+                self.hurry.notify_one();
+            }
             Message::Join { .. } | Message::Busy | Message::State(_) => {
                 log::warn!("upgrade: unexpected {message:?}");
             }
@@ -389,9 +408,13 @@
         self.succession.borrow().succeeds()
     }
 
-    fn tell(&self, worker: &str, out: bool) {
-        let worker = worker.to_owned();
-        let change = if out { Message::Out { worker } } else { Message::Back { worker } };
+    fn tell(&self, change: Change<'_>) {
+        let change = match change {
+            Change::Out(worker) => Message::Out { worker: worker.to_owned() },
+            Change::Back(worker) => Message::Back { worker: worker.to_owned() },
+            Change::Drained => Message::Drain,
+            Change::Resumed => Message::Resume,
+        };
         if let Some(other) = &*self.other.borrow()
             && let Err(error) = other.try_send(change)
         {
--- a/src/protocol/handover.rs
+++ b/src/protocol/handover.rs
@@ -51,9 +51,13 @@
         /// Its name.
         worker: String,
     },
+    /// An operator has the gatherer drained.
+    Drain,
+    /// An operator has it take clients again.
+    Resume,
     /// The second takes clients.
     Serving,
-    /// The first has been told to stop.
+    /// The one that says so has been told to stop.
     Stopping,
 }
 
--- a/src/service/stage.rs
+++ b/src/service/stage.rs
@@ -20,8 +20,11 @@
     /// On SIGTERM: no longer healthy, but it serves who still comes.
     Stopping,
     /// On SIGTERM, where a successor serves: the gatherer goes on in that one. This one accepts nobody, is healthy for
-    /// whoever asks on a connection of before, and closes each behind its answer.
-    Succeeded,
+    /// whoever asks on a connection of before, unless it was drained, and closes each behind its answer.
+    Succeeded {
+        /// An operator had it drained.
+        drained: bool,
+    },
     /// The last: it takes nothing new, closes idle connections, and others behind their answers.
     Closing,
 }
@@ -29,15 +32,15 @@
 impl Stage {
     /// Clients are to be sent here.
     pub fn healthy(self) -> bool {
-        matches!(self, Stage::Serving | Stage::Succeeded)
+        matches!(self, Stage::Serving | Stage::Succeeded { drained: false })
     }
     /// Connections are let in.
     pub fn accepts(self) -> bool {
-        !matches!(self, Stage::Succeeded | Stage::Closing)
+        !matches!(self, Stage::Succeeded { .. } | Stage::Closing)
     }
     /// Connections end behind their next answer.
     pub fn parts(self) -> bool {
-        matches!(self, Stage::Drained | Stage::Succeeded | Stage::Closing)
+        matches!(self, Stage::Drained | Stage::Succeeded { .. } | Stage::Closing)
     }
     /// Connections end as soon as nothing is open on them.
     pub fn parts_idle(self) -> bool {
@@ -45,7 +48,7 @@
     }
     /// SIGTERM has come.
     pub fn stops(self) -> bool {
-        matches!(self, Stage::Stopping | Stage::Succeeded | Stage::Closing)
+        matches!(self, Stage::Stopping | Stage::Succeeded { .. } | Stage::Closing)
     }
     /// New queries are taken.
     pub fn takes(self) -> bool {
@@ -56,7 +59,7 @@
         match self {
             Stage::Serving => "serving",
             Stage::Draining | Stage::Drained => "drained",
-            Stage::Stopping | Stage::Succeeded | Stage::Closing => "stopping",
+            Stage::Stopping | Stage::Succeeded { .. } | Stage::Closing => "stopping",
         }
     }
 }
@@ -108,7 +111,7 @@
         let next = match (call, self.stage) {
             // A successor that serves only now still takes over what comes; the end is due when it was.
             (Call::Succeed, Stage::Stopping) => {
-                self.stage = Stage::Succeeded;
+                self.stage = Stage::Succeeded { drained: false };
                 return Ok(());
             }
             (Call::Stop | Call::Succeed, stage) if stage.stops() => return Ok(()),
@@ -117,7 +120,7 @@
             (Call::Drain, _) => return Ok(()),
             (Call::Resume, _) => Stage::Serving,
             (Call::Stop, _) => Stage::Stopping,
-            (Call::Succeed, _) => Stage::Succeeded,
+            (Call::Succeed, stage) => Stage::Succeeded { drained: stage != Stage::Serving },
         };
         (self.stage, self.since) = (next, now);
         Ok(())
@@ -126,7 +129,7 @@
     /// When time alone leads on.
     pub fn due(&self) -> Option<Time> {
         match self.stage {
-            Stage::Draining | Stage::Succeeded => Some(self.since.after(LINGER)),
+            Stage::Draining | Stage::Succeeded { .. } => Some(self.since.after(LINGER)),
             // Where deadlines are short, clients keep the connections they have for longer: another gatherer may be down.
             Stage::Stopping => Some(self.since.after(LINGER + LEAST_GRACE.saturating_sub(self.longest))),
             Stage::Serving | Stage::Drained | Stage::Closing => None,
@@ -137,7 +140,7 @@
     pub fn pass(&mut self, now: Time) -> bool {
         let next = match (self.due(), self.stage) {
             (Some(due), Stage::Draining) if due <= now => Stage::Drained,
-            (Some(due), Stage::Stopping | Stage::Succeeded) if due <= now => Stage::Closing,
+            (Some(due), Stage::Stopping | Stage::Succeeded { .. }) if due <= now => Stage::Closing,
             _ => return false,
         };
         (self.stage, self.since) = (next, now);
@@ -186,6 +189,11 @@
         assert!(stage.healthy() && !stage.accepts() && stage.parts() && !stage.parts_idle() && stage.takes());
         assert_eq!(stages.due(), Some(Time(600 * MS)));
         assert!(stages.pass(Time(600 * MS)) && !stages.stage().takes());
+        // One that is drained does not become healthy by that.
+        let mut stages = Stages::new(Time(0), Duration::from_secs(6));
+        assert_eq!(stages.call(Time(0), Call::Drain), Ok(()));
+        assert_eq!(stages.call(Time(0), Call::Succeed), Ok(()));
+        assert!(!stages.stage().healthy() && !stages.stage().accepts());
     }
 
     proptest! {
--- a/src/service/succession.rs
+++ b/src/service/succession.rs
@@ -12,6 +12,8 @@
     Joining,
     /// It serves.
     Serving,
+    /// It has been told to stop.
+    Stopping,
 }
 
 /// What one process of a gatherer knows of the other.
@@ -56,6 +58,14 @@
         self.successor = Other::Joining;
         Ok(())
     }
+    /// The other process has been told to stop: the gatherer does not go on in that one.
+    pub fn other_stops(&mut self) {
+        for other in [&mut self.predecessor, &mut self.successor] {
+            if *other != Other::None {
+                *other = Other::Stopping;
+            }
+        }
+    }
     /// The successor takes clients.
     pub fn successor_serves(&mut self) {
         if self.successor == Other::Joining {
@@ -70,9 +80,10 @@
     pub fn processes(&self) -> u32 {
         1 + u32::from(self.predecessor != Other::None) + u32::from(self.successor != Other::None)
     }
-    /// What SIGTERM means now: the end, or that the gatherer goes on in the successor.
+    /// What SIGTERM means now: the end, or that the gatherer goes on in the other process.
     pub fn stop(&self) -> Call {
-        if self.successor == Other::Serving { Call::Succeed } else { Call::Stop }
+        let goes_on = [self.predecessor, self.successor].contains(&Other::Serving);
+        if goes_on { Call::Succeed } else { Call::Stop }
     }
 }
 
@@ -94,8 +105,13 @@
         assert_eq!(first.stop(), Call::Stop);
         first.successor_gone();
         assert_eq!((first.processes(), first.stop(), first.join()), (1, Call::Stop, Ok(())));
+        // The second may be told to stop instead: the first goes on.
+        assert_eq!(second.stop(), Call::Succeed);
         second.serves();
         first.successor_serves();
+        let (mut both, mut other) = (first.clone(), second.clone());
+        (both.other_stops(), other.other_stops());
+        assert_eq!((both.stop(), other.stop()), (Call::Stop, Call::Stop), "nobody goes on");
         assert_eq!(first.stop(), Call::Succeed);
         assert_eq!(second.join(), Err(Busy), "the first has not ended");
         second.predecessor_gone();
@@ -104,7 +120,7 @@
 
     proptest! {
         #[test]
-        fn no_more_than_two_processes_ever_share(steps in prop::collection::vec(0..6_u8, 1..60)) {
+        fn no_more_than_two_processes_ever_share(steps in prop::collection::vec(0..7_u8, 1..60)) {
             let mut one = Succession::default();
             for step in steps {
                 let before = one.clone();
@@ -115,6 +131,7 @@
                     3 => drop(one.join()),
                     4 => one.successor_serves(),
                     5 => one.successor_gone(),
+                    6 => one.other_stops(),
                     _ => {}
                 }
                 prop_assert!((1..=2).contains(&one.processes()));
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -85,7 +85,7 @@
     let mut turnstile = Turnstile::default();
     loop {
         // What waits in the queue then is the successor's.
-        if gate.stage() == Stage::Succeeded {
+        if matches!(gate.stage(), Stage::Succeeded { .. }) {
             return;
         }
         let mut begun = gate.places().now();
--- a/src/transport/relay.rs
+++ b/src/transport/relay.rs
@@ -6,10 +6,12 @@
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags,
 };
+use std::cell::Cell;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::os::fd::{BorrowedFd, OwnedFd};
 use std::os::linux::net::SocketAddrExt;
+use std::os::unix::fs::MetadataExt;
 use std::os::unix::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
@@ -35,6 +37,8 @@
 pub struct Meeting {
     path: PathBuf,
     name: String,
+    /// The number of the file that is this process's own.
+    own: Cell<Option<u64>>,
 }
 
 impl Meeting {
@@ -42,7 +46,7 @@
     pub fn new(folder: &Path, listen: &str) -> Meeting {
         let name =
             format!("clayshore-{}-{}", rustix::process::geteuid().as_raw(), listen.replace([':', '/'], "-"));
-        Meeting { path: folder.join(format!("{name}.sock")), name }
+        Meeting { path: folder.join(format!("{name}.sock")), name, own: Cell::new(None) }
     }
 
     fn nameless(&self) -> io::Result<SocketAddr> {
@@ -56,6 +60,7 @@
             // What a process of this id left behind is in the way.
             let _ = std::fs::remove_file(&beside);
             let listener = UnixListener::bind(&beside)?;
+            self.own.set(Some(std::fs::metadata(&beside)?.ino()));
             std::fs::rename(&beside, &self.path)?;
             Ok(listener)
         };
@@ -80,10 +85,19 @@
         Relay::new(stream)
     }
 
-    /// Leaves no file behind.
+    /// Whether the file there is this process's own.
+    pub fn is_own(&self) -> bool {
+        let there = std::fs::metadata(&self.path).ok().map(|file| file.ino());
+        there.is_some() && there == self.own.get()
+    }
+
+    /// Leaves no file of its own behind. Guards a successor's, which replaced it, by hand-over or beside a process that
+    /// did not answer.
     pub fn leave(&self) {
-        // It may be gone, or never have been.
-        let _ = std::fs::remove_file(&self.path);
+        if self.is_own() {
+            // It may be gone by now.
+            let _ = std::fs::remove_file(&self.path);
+        }
     }
 }
 
--- a/tests/upgrades.rs
+++ b/tests/upgrades.rs
@@ -59,6 +59,13 @@
     operate(&gatherer.operators, "GET", "/-/ready").0 == 200
 }
 
+/// Asks once, on a connection of its own, and is answered.
+fn served(gatherer: &Gatherer, class: &str) {
+    let mut client = gatherer.connect();
+    query(&mut client, "a1", class).expect("written");
+    assert_eq!(response(&mut client).expect("an answer").status, 200);
+}
+
 /// A client that asks without a pause, on connections that it keeps, until it is told to stop; how many answers it got.
 /// Where a connection is closed between two requests it asks once more on a new one, as the protocol has it.
 fn client(
@@ -201,6 +208,35 @@
     assert!(ready(&second));
 }
 
+#[test]
+fn drain_and_resume_during_an_upgrade_hold_for_both() {
+    let fleet = Fleet::new("both");
+    let first = Gatherer::start(&fleet.folder, &fleet.config);
+    let (unsure, _silent) = fleet.unsure();
+    let second = Gatherer::begin(&fleet.folder, &unsure);
+    second.logged("upgrade: taking over");
+    second.logged(" serving on ");
+    assert_eq!(operate(&first.operators, "PUT", "/-/drain").0, 200);
+    until("both are drained", || operate(&second.operators, "GET", "/-/ready").1 == "ready, drained\n");
+    assert_eq!(operate(&second.operators, "PUT", "/-/resume").0, 200);
+    until("both serve", || ready(&first) && ready(&second));
+}
+
+#[test]
+fn a_successor_that_is_told_to_stop_leaves_the_gatherer_to_the_first() {
+    let fleet = Fleet::new("undone");
+    let first = Gatherer::start(&fleet.folder, &fleet.config);
+    let mut second = Gatherer::start(&fleet.folder, &fleet.again());
+    until("ready", || ready(&second));
+    second.signal("-TERM");
+    assert!(second.ended());
+    first.logged("upgrade: the successor has ended, this process goes on");
+    served(&first, "seal");
+    assert_eq!(counted(&second, "refused_stopping"), 0);
+    // And it may be taken over from again.
+    Gatherer::start(&fleet.folder, &fleet.again()).logged("upgrade: taking over");
+}
+
 #[test]
 fn a_successor_that_dies_before_its_yes_changes_nothing() {
     let fleet = Fleet::new("stillborn");
@@ -211,9 +247,7 @@
     second.signal("-KILL");
     assert!(!second.ended());
     first.logged("upgrade: the successor has ended, this process goes on");
-    let mut client = first.connect();
-    query(&mut client, "a1", "seal").expect("written");
-    assert_eq!(response(&mut client).expect("an answer").status, 200);
+    served(&first, "seal");
     // The next one may take over.
     let third = Gatherer::start(&fleet.folder, &fleet.again());
     third.logged("upgrade: taking over");
@@ -248,9 +282,7 @@
     second.logged("upgrade: taking over");
     first.signal("-KILL");
     first.ended();
-    let mut client = first.connect();
-    query(&mut client, "a1", "search").expect("written");
-    assert_eq!(response(&mut client).expect("an answer").status, 200);
+    served(&first, "search");
     second.logged("upgrade: the process before has ended");
     assert_eq!((fleet.worker.parts(), figure(&second.operators, "gatherer.ejected")), (0, 1));
 }
@@ -266,6 +298,11 @@
     first.signal("-CONT");
     first.logged("upgrade: a successor has started");
     first.logged("upgrade: the successor has ended, this process goes on");
+    // The end of the first takes nothing from the second: a third still finds it.
+    let mut first = first;
+    first.signal("-TERM");
+    assert!(first.ended());
+    Gatherer::start(&fleet.folder, &fleet.again()).logged("upgrade: taking over");
 }
 
 #[test]
@@ -275,6 +312,8 @@
     let _mute = UnixStream::connect(fleet.meeting()).expect("connected");
     let second = Gatherer::start(&fleet.folder, &fleet.again());
     second.logged("upgrade: taking over");
+    let mute = first.log.0.lock().expect("sound").iter().any(|line| line.contains("says nothing"));
+    assert!(!mute, "it was heard beside the mute one, not after it");
     first.logged("upgrade: no successor: it says nothing");
 }
 
@@ -288,6 +327,8 @@
     third.logged("upgrade: another one is under way");
     let (status, text) = operate(&third.operators, "GET", "/-/ready");
     assert_eq!((status, text.as_str()), (503, "another upgrade is under way\n"));
+    // What the state that it waits for would undo gets no yes.
+    assert_eq!(operate(&third.operators, "PUT", "/-/workers/w1/disable").0, 503);
     assert!(ready(&second));
     first.signal("-TERM");
     assert!(first.ended());
@@ -295,9 +336,7 @@
     until("ready", || ready(&third));
     second.signal("-TERM");
     assert!(second.ended());
-    let mut client = third.connect();
-    query(&mut client, "a1", "seal").expect("written");
-    assert_eq!(response(&mut client).expect("an answer").status, 200);
+    served(&third, "seal");
 }
 
 #[test]
@@ -311,9 +350,7 @@
     until("ready", || ready(&second));
     first.signal("-TERM");
     assert!(first.ended());
-    let mut client = second.connect();
-    query(&mut client, "a1", "seal").expect("written");
-    assert_eq!(response(&mut client).expect("an answer").status, 200);
+    served(&second, "seal");
 }
 
 #[test]
