--- a/src/service/succession.rs
+++ b/src/service/succession.rs
@@ -110,7 +110,8 @@
         second.serves();
         first.successor_serves();
         let (mut both, mut other) = (first.clone(), second.clone());
-        (both.other_stops(), other.other_stops());
+        both.other_stops();
+        other.other_stops();
         assert_eq!((both.stop(), other.stop()), (Call::Stop, Call::Stop), "nobody goes on");
         assert_eq!(first.stop(), Call::Succeed);
         assert_eq!(second.join(), Err(Busy), "the first has not ended");
