Rest after news before discovery is asked again: watches crowded out first calls

At fault: transport/watch.rs went round its loop without a pause. Ruled out: the pauses after failures (already by round), and the lists themselves (readable, in order).

--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -87,12 +87,13 @@
                         listing.members.len()
                     );
                 }
+                *revision = Some(listing.revision);
+                backoff.answered();
                 // A list without entries says only that the wait is over, unless it is the whole list.
                 if listing.complete || !listing.members.is_empty() {
                     broker.learn(&listing, false);
+                    tokio::time::sleep(backoff.rest()).await;
                 }
-                *revision = Some(listing.revision);
-                backoff.answered();
             }
             Err(error) => return (format!("unreadable list: {error}"), false),
         }
