--- a/src/limits/backoff.rs
+++ b/src/limits/backoff.rs
@@ -63,7 +63,7 @@
     pub fn rest(&mut self) -> Duration {
         // Between half of it and all, so three quarters of it on average: one round.
         let most = (self.round().saturating_sub(TURN) * 4 / 3).min(self.ask_in.mul_f64(CARE));
-        most.mul_f64(0.5 + 0.5 * self.random.f64())
+        if most.is_zero() { most } else { most.mul_f64(0.5 + 0.5 * self.random.f64()) }
     }
     /// How long a call may wait for news: it is a call again when the wait is over.
     pub fn wait(&self) -> Duration {
