Ask for changes of the list held at the start; take back the rest after news

So a watch follows each answer at once, as before; at fault was the sleep behind broker.learn in transport/watch.rs. What the rest was for is mended at its cause: who starts with a list asked for the whole list (0.193 s of discovery's time) and then for a watch (0.097 s). Now the first call is a watch from the revision held. A discovery that counts anew is told by its lower revision, and its whole list is asked for.

--- a/src/limits/backoff.rs
+++ b/src/limits/backoff.rs
@@ -11,8 +11,6 @@
 const LONGEST: Duration = Duration::from_secs(1);
 /// Share of the time in which it must ask that a caller takes.
 const CARE: f64 = 0.8;
-/// Calls that may wait in turn at the service without harm, in time: fewer callers than that need no spreading.
-const TURN: Duration = Duration::from_secs(1);
 /// Most doublings of a pause.
 const DOUBLINGS: u32 = 3;
 /// The shortest and the longest time that one call may wait for news.
@@ -58,13 +56,6 @@
     pub fn start(&mut self) -> Duration {
         self.round().min(self.ask_in.mul_f64(CARE)).mul_f64(self.random.f64())
     }
-    /// How long to rest after news, before the next call. News wakes all callers at once: guards against all of them
-    /// asking again at once, each in a queue that is longer than anyone is let wait.
-    pub fn rest(&mut self) -> Duration {
-        // Between half of it and all, so three quarters of it on average: one round.
-        let most = (self.round().saturating_sub(TURN) * 4 / 3).min(self.ask_in.mul_f64(CARE));
-        if most.is_zero() { most } else { most.mul_f64(0.5 + 0.5 * self.random.f64()) }
-    }
     /// How long a call may wait for news: it is a call again when the wait is over.
     pub fn wait(&self) -> Duration {
         (self.round() + self.round() / 2).clamp(WAIT.0, WAIT.1)
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -93,7 +93,9 @@
         let discovery = Sender::new(config.discovery);
         let address = discovery.subscribe();
         let watched = places.clone();
-        spawn_local(async move { watch::follow(&*dial, address, &watcher, &watched, backoff).await });
+        // A whole list costs an asked discovery twice what its changes do, when the whole fleet starts.
+        let held = config.known.filter(|_| config.ask_in.is_some()).map(|known| known.revision);
+        spawn_local(async move { watch::follow(&*dial, address, held, &watcher, &watched, backoff).await });
         spawn_local(reload(hangups, places, recording.clone(), move || {
             // Where discovery is takes effect now, all else at the next start.
             let config = read()?;
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -1,4 +1,4 @@
-//! Follows discovery: the whole list once, then one watch after the other.
+//! Follows discovery: the whole list once, where no list is held, then one watch after the other.
 
 use super::client;
 use super::places::Places;
@@ -14,15 +14,18 @@
 /// How long past that an answer may take, and how long a connection may take to come up.
 const SLACK: Duration = Duration::from_secs(1);
 
-/// Tells the broker whatever discovery says, for as long as the process lives. Serving never waits for it.
+/// Tells the broker whatever discovery says, for as long as the process lives. Serving never waits for it. `held` is the
+/// revision of the list that the broker has already, if the first call is to ask for what is newer alone.
 pub async fn follow(
     dial: &dyn Dial,
     mut address: watch::Receiver<String>,
+    held: Option<u64>,
     broker: &Broker,
     places: &Rc<Places>,
     mut backoff: Backoff,
 ) {
-    let (mut at, mut revision, mut said) = (String::new(), None, String::new());
+    let (mut at, mut said) = (address.borrow_and_update().clone(), String::new());
+    let mut revision = held;
     // Where there is a list, it serves meanwhile.
     let mut pause = if broker.core(|core| core.ready()) { backoff.start() } else { Duration::ZERO };
     loop {
@@ -87,12 +90,16 @@
                         listing.members.len()
                     );
                 }
+                // Guards against a discovery that counts anew: its changes are not changes of the list held here.
+                if revision.is_some_and(|held| listing.revision < held) && !listing.complete {
+                    *revision = None;
+                    continue;
+                }
                 *revision = Some(listing.revision);
                 backoff.answered();
                 // A list without entries says only that the wait is over, unless it is the whole list.
                 if listing.complete || !listing.members.is_empty() {
                     broker.learn(&listing, false);
-                    tokio::time::sleep(backoff.rest()).await;
                 }
             }
             Err(error) => return (format!("unreadable list: {error}"), false),
