Spread first calls for changes over half a round: they cost discovery half of a list

Change: Backoff::start takes half a round (4.8 s for 48 gatherers; the time in which one must ask still bounds it), and the log tells the first news of a start again, a list or changes.

--- a/src/limits/backoff.rs
+++ b/src/limits/backoff.rs
@@ -11,6 +11,8 @@
 const LONGEST: Duration = Duration::from_secs(1);
 /// Share of the time in which it must ask that a caller takes.
 const CARE: f64 = 0.8;
+/// How many calls for changes a call for the whole list costs the service, at least.
+const CHEAPER: u32 = 2;
 /// Most doublings of a pause.
 const DOUBLINGS: u32 = 3;
 /// The shortest and the longest time that one call may wait for news.
@@ -52,9 +54,10 @@
         self.failures += 1;
         most.mul_f64(self.random.f64())
     }
-    /// How long to wait before the first call. Guards against all that start together asking together.
+    /// How long to wait before the first call, which asks for changes of a list that is held. Guards against all that
+    /// start together asking together.
     pub fn start(&mut self) -> Duration {
-        self.round().min(self.ask_in.mul_f64(CARE)).mul_f64(self.random.f64())
+        (self.round() / CHEAPER).min(self.ask_in.mul_f64(CARE)).mul_f64(self.random.f64())
     }
     /// How long a call may wait for news: it is a call again when the wait is over.
     pub fn wait(&self) -> Duration {
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -83,9 +83,10 @@
         };
         match discovery::listing(&response.body) {
             Ok(listing) => {
-                if revision.is_none() {
+                if revision.is_none() || !broker.core(|core| core.told()) {
+                    let what = if listing.complete { "workers" } else { "changes" };
                     log::info!(
-                        "discovery at {address}: list {} with {} workers",
+                        "discovery at {address}: list {} with {} {what}",
                         listing.revision,
                         listing.members.len()
                     );
