Decide who is there: membership among gatherers, its pure part, tested in virtual time

Need: when gatherers die the others keep reckoning with the settings' number. This is the part without I/O (src/membership): claims and which holds, a bounded table, the questions, suspicions and proofs of death, and one number of gatherers that errs to the side that is safe for workers. Nothing uses it yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,6 +70,7 @@
 mod estimates;
 pub mod fronts;
 pub mod limits;
+pub mod membership;
 pub mod program;
 pub mod protocol;
 pub mod records;
--- /dev/null
+++ b/src/membership/claim.rs
@@ -0,0 +1,167 @@
+//! What is said about members, and which of two claims holds.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The longest name, and the longest name of a zone, in bytes.
+pub const LONGEST_NAME: usize = 64;
+/// Bytes that claims may take in one message: what is left of a datagram of 1,200 for the seal and the head.
+pub const ROOM: usize = 960;
+/// Bytes of a claim beside its texts, at most.
+const FIXED: usize = 40;
+
+/// How a member stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Standing {
+    /// It is there.
+    Alive,
+    /// It stops, and another process of the same name takes over.
+    Moving,
+    /// It has not answered somebody.
+    Suspect,
+    /// It died, as far as silence tells.
+    Silent,
+    /// It died: its machine refuses connections to it.
+    Dead,
+    /// It said that it leaves.
+    Left,
+}
+
+impl Standing {
+    /// It takes its share of the traffic, as far as is known.
+    pub fn present(self) -> bool {
+        self < Standing::Silent
+    }
+}
+
+/// What somebody says about a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Its name, which stays.
+    pub name: String,
+    /// Its process: the time of its start in Unix nanoseconds, or later.
+    pub start: u64,
+    /// Raised by the member itself, to answer a claim about it.
+    pub incarnation: u32,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// How it stands.
+    pub standing: Standing,
+}
+
+impl Claim {
+    /// Whether this one holds against the other, about the same name. A later start makes all claims about earlier ones
+    /// void; of one start, what it says last is its own end; then the higher incarnation, then the worse standing.
+    pub fn beats(&self, other: &Claim) -> bool {
+        let rank = |claim: &Claim| {
+            let last = claim.standing == Standing::Left;
+            (claim.start, last, claim.incarnation, claim.standing)
+        };
+        rank(self) > rank(other)
+    }
+
+    /// Whether it may be taken at all.
+    pub fn sound(&self) -> bool {
+        let named = |text: &str| text.len() <= LONGEST_NAME && !text.chars().any(char::is_control);
+        !self.name.is_empty() && named(&self.name) && named(&self.zone) && self.address.port() != 0
+    }
+
+    /// The same with another standing.
+    pub fn as_is(&self, standing: Standing) -> Claim {
+        Claim { standing, ..self.clone() }
+    }
+
+    /// Bytes that it takes in a message, at most.
+    pub fn size(&self) -> usize {
+        self.name.len() + self.zone.len() + FIXED
+    }
+}
+
+/// What a message is for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// Asks for an [`Kind::Ack`] of this number. `hears` is whether the sender has lately heard the receiver itself.
+    Ping {
+        /// The number of the question.
+        number: u32,
+        /// Whether it has.
+        hears: bool,
+    },
+    /// Answers it.
+    Ack {
+        /// The number of the question.
+        number: u32,
+    },
+    /// Asks the receiver to ask a third.
+    Ask {
+        /// The number of the sender's question.
+        number: u32,
+        /// Whom.
+        target: String,
+    },
+    /// The third has answered the receiver's helper.
+    Relayed {
+        /// The number of the question that was helped with.
+        number: u32,
+        /// What the third said of itself.
+        claim: Claim,
+    },
+    /// News alone.
+    Gossip,
+    /// A whole table, over a connection; to be answered in kind.
+    Table,
+}
+
+/// What one member sends to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// Who sends it, in its own words.
+    pub from: Claim,
+    /// What for.
+    pub kind: Kind,
+    /// News.
+    pub claims: Vec<Claim>,
+}
+
+impl Message {
+    /// Whether it may be taken at all.
+    pub fn sound(&self) -> bool {
+        let relayed = match &self.kind {
+            Kind::Relayed { claim, .. } => claim.sound(),
+            _ => true,
+        };
+        self.from.sound() && relayed && self.claims.iter().all(Claim::sound)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn claim((start, incarnation, standing): (u64, u32, u8)) -> Claim {
+        use Standing::*;
+        let standing = [Alive, Moving, Suspect, Silent, Dead, Left][usize::from(standing % 6)];
+        let (name, zone, address) = ("g1".to_owned(), String::new(), ([127, 0, 0, 1], 9).into());
+        Claim { name, start, incarnation, address, zone, standing }
+    }
+
+    proptest! {
+        #[test]
+        fn of_two_different_claims_just_one_holds_and_the_order_is_one(
+            a in (0..3_u64, 0..3_u32, 0..6_u8), b in (0..3_u64, 0..3_u32, 0..6_u8), c in (0..3_u64, 0..3_u32, 0..6_u8),
+        ) {
+            let (a, b, c) = (claim(a), claim(b), claim(c));
+            let same = (a.start, a.standing) == (b.start, b.standing)
+                && (a.incarnation == b.incarnation);
+            prop_assert_eq!(!same, a.beats(&b) != b.beats(&a));
+            prop_assert!(!(a.beats(&b) && b.beats(&c)) || a.beats(&c));
+            // A process that has said that it leaves is not brought back but by a later one.
+            if a.standing == Standing::Left && b.beats(&a) {
+                prop_assert!(b.start > a.start || b.standing == Standing::Left);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/mod.rs
@@ -0,0 +1,13 @@
+//! Who else is there: which gatherers live, which have died, which only seem to have, and how many share the fleet.
+//! Messages, times and lots go in, messages and decisions come out: no socket, no task, no clock. What it is for and why
+//! it is built so: docs/membership.md.
+
+pub mod census;
+pub mod claim;
+pub mod node;
+pub mod table;
+
+pub use census::Census;
+pub use claim::{Claim, Kind, Message, Standing};
+pub use node::{Knock, Node, Order, Timing};
+pub use table::{Change, Link, Seen, State, Table};
