Let gatherers talk: membership over datagrams, off in run, behind a relay of faults in tests

Need: shares of cold workers, trials, quotas and calls to discovery went by the settings' number whoever had died. Change: sealed datagrams and tables (protocol/gossip.rs, BLAKE3 and postcard), their sockets (transport/members.rs), the table [membership] of an operator's file, GET /-/members and 'clayshore members', changes in log and records, and the number of gatherers in the core. Off in run, and off where allowed.may-tell is false.

--- a/src/fronts/operators.rs
+++ b/src/fronts/operators.rs
@@ -7,6 +7,7 @@
 use crate::service::stage::Call;
 use crate::transport::desk::Desk;
 use crate::transport::gate::Gate;
+use crate::transport::members::Members;
 use bytes::Bytes;
 use percent_encoding::percent_decode_str;
 use std::rc::Rc;
@@ -42,6 +43,8 @@
     pub gate: Rc<Gate>,
     /// What another process of this gatherer has to do with it.
     pub pair: Rc<dyn Pair>,
+    /// The other gatherers, where they talk.
+    pub members: Option<Rc<Members>>,
 }
 
 impl Operators {
@@ -74,6 +77,13 @@
         Response { body: Bytes::from(lines.text()), ..Response::text(200, "") }
     }
 
+    fn members(&self) -> Response {
+        match &self.members {
+            Some(members) => Response::json(200, members.view()),
+            None => Response::text(404, "membership is off"),
+        }
+    }
+
     /// Takes a worker out or back; its id is what stands in the path, with each `%` sign's two digits read.
     fn worker(&self, id: &str, out: bool) -> Response {
         let Ok(id) = percent_decode_str(id).decode_utf8() else {
@@ -124,9 +134,10 @@
         match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/-/ready") => self.ready(),
             ("GET", "/-/metrics") => self.figures(),
+            ("GET", "/-/members") => self.members(),
             ("PUT", "/-/drain") => self.call(Call::Drain),
             ("PUT", "/-/resume") => self.call(Call::Resume),
-            (_, "/-/ready" | "/-/metrics") => only("GET"),
+            (_, "/-/ready" | "/-/metrics" | "/-/members") => only("GET"),
             (_, "/-/drain" | "/-/resume") => only("PUT"),
             (_, path) => Response::text(404, format!("nothing at {path}")),
         }
--- a/src/limits/backoff.rs
+++ b/src/limits/backoff.rs
@@ -37,6 +37,12 @@
     pub fn pushed(seed: u64) -> Backoff {
         Backoff::new(seed, 1, Duration::ZERO)
     }
+    /// So many callers there are now. Who calls at no cost is alone, however many others do the same.
+    pub fn among(&mut self, callers: u32) {
+        if !self.ask_in.is_zero() {
+            self.callers = callers.max(1);
+        }
+    }
     /// The service has answered.
     pub fn answered(&mut self) {
         self.failures = 0;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,8 @@
 use clayshore::program::config::{Config, Error};
 use clayshore::program::opensearch_file::FrontFile;
 use clayshore::program::operator::Operator;
-use clayshore::program::{inspect, log, run};
+use clayshore::program::{inspect, log, members, run};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -56,6 +57,14 @@
         #[arg(long, default_value_t = 60)]
         step: u64,
     },
+    /// Who else is there, as a gatherer sees it.
+    Members {
+        /// Where its operators call (LB_OPERATOR).
+        operator: Option<SocketAddr>,
+        /// Print it as JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Read records.
     Records {
         #[command(subcommand)]
@@ -117,6 +126,12 @@
             }
             Ok(())
         }
+        Some(Command::Members { operator, json }) => {
+            let named = std::env::var("LB_OPERATOR").ok().and_then(|address| address.parse().ok());
+            let operator = operator.or(named).ok_or(Error::Unset("LB_OPERATOR"))?;
+            print!("{}", members::ask(operator, json)?);
+            Ok(())
+        }
         Some(Command::Records { what: Records::Schema }) => {
             println!("{}", inspect::schema());
             Ok(())
--- a/src/membership/claim.rs
+++ b/src/membership/claim.rs
@@ -5,8 +5,8 @@
 
 /// The longest name, and the longest name of a zone, in bytes.
 pub const LONGEST_NAME: usize = 64;
-/// Bytes that claims may take in one message: what is left of a datagram of 1,200 for the seal and the head.
-pub const ROOM: usize = 960;
+/// Bytes that all claims of a message may take, the sender's own among them: a datagram of 1,200 less seal and head.
+pub const ROOM: usize = 1160;
 /// Bytes of a claim beside its texts, at most.
 const FIXED: usize = 40;
 
@@ -126,6 +126,15 @@
 }
 
 impl Message {
+    /// Bytes that its claims take, at most.
+    pub fn size(&self) -> usize {
+        let relayed = match &self.kind {
+            Kind::Relayed { claim, .. } => claim.size(),
+            Kind::Ask { target, .. } => target.len(),
+            _ => 0,
+        };
+        self.from.size() + relayed + self.claims.iter().map(Claim::size).sum::<usize>()
+    }
     /// Whether it may be taken at all.
     pub fn sound(&self) -> bool {
         let relayed = match &self.kind {
--- a/src/membership/node.rs
+++ b/src/membership/node.rs
@@ -408,13 +408,12 @@
 
     /// Sends with as much news as fits; `about` is whom it goes to, who is to hear what is said of itself.
     fn send(&mut self, to: SocketAddr, kind: Kind, about: Option<&str>) {
-        let mut claims = Vec::new();
-        let mut room = ROOM;
+        let mut message = Message { from: self.own.clone(), kind, claims: Vec::new() };
         let own = about.and_then(|name| self.table.get(name));
         if let Some(seen) = own.filter(|seen| seen.claim.standing != Standing::Alive) {
-            room -= seen.claim.size();
-            claims.push(seen.claim.clone());
+            message.claims.push(seen.claim.clone());
         }
+        let mut room = ROOM.saturating_sub(message.size());
         let mut fresh: Vec<(u32, String)> =
             self.news.iter().map(|(name, left)| (*left, name.clone())).collect();
         // What was passed on least goes first; among equals by lot, so that no name is always the last.
@@ -428,14 +427,14 @@
             let Some(rest) = room.checked_sub(seen.claim.size()) else { break };
             room = rest;
             if about != Some(name.as_str()) {
-                claims.push(seen.claim.clone());
+                message.claims.push(seen.claim.clone());
             }
             match left {
                 0 | 1 => drop(self.news.remove(&name)),
                 left => drop(self.news.insert(name, left - 1)),
             }
         }
-        self.orders.push(Order::Send { to, message: Message { from: self.own.clone(), kind, claims } });
+        self.orders.push(Order::Send { to, message });
     }
 
     /// The whole table, for an exchange.
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -2,12 +2,13 @@
 
 use super::claim::{Claim, Standing};
 use crate::api::Time;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// How a member is reached from here.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Link {
     /// It answers.
     #[default]
@@ -32,7 +33,7 @@
 }
 
 /// What others are told of a member, in a word.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     /// Claimed by others, and not yet heard here.
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod inspect;
 pub mod log;
+pub mod members;
 pub mod opensearch_file;
 pub mod operator;
 mod process;
--- a/src/program/opensearch_file.rs
+++ b/src/program/opensearch_file.rs
@@ -272,6 +272,7 @@
                 connect_timeout: Duration::from_millis(self.limits.connect_timeout_ms),
                 conn_idle: Duration::from_millis(self.limits.idle_ms),
                 multiplex: searches_per_server,
+                may_tell: true,
             },
         };
         let mut names = Names { window, ..Names::default() };
--- a/src/program/operator.rs
+++ b/src/program/operator.rs
@@ -3,8 +3,11 @@
 
 use super::config::Error;
 use super::settings::Faulty;
+use crate::membership::Timing;
 use crate::records::Bounds;
 use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -14,6 +17,81 @@
 pub struct Operator {
     /// Whether and where records are kept.
     pub records: Option<Records>,
+    /// Whether this gatherer talks with its fellows.
+    pub membership: Option<Membership>,
+}
+
+/// How this gatherer talks with its fellows.
+#[derive(Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Membership {
+    /// Where it listens, by datagrams and connections.
+    pub listen: SocketAddr,
+    /// Where others reach it, if that is elsewhere.
+    pub advertise: Option<SocketAddr>,
+    /// Members of another cluster are not heard.
+    pub cluster: String,
+    /// What all members of the cluster know, and nobody else; without it, whoever reaches the address can take part.
+    #[serde(default)]
+    pub secret: String,
+    /// Where some members may be found.
+    pub seeds: Vec<SocketAddr>,
+    /// The most others that are remembered.
+    #[serde(default = "most")]
+    pub most: usize,
+    /// Time between two rounds of questions, in milliseconds.
+    #[serde(default = "period_ms")]
+    pub period_ms: u64,
+    /// Time from a suspicion to a burial, in milliseconds.
+    #[serde(default = "bury_ms")]
+    pub bury_ms: u64,
+}
+
+fn most() -> usize {
+    1024
+}
+fn period_ms() -> u64 {
+    500
+}
+fn bury_ms() -> u64 {
+    10_000
+}
+
+impl fmt::Debug for Membership {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // Not the secret: what is printed may be kept.
+        out.debug_struct("Membership").field("listen", &self.listen).field("cluster", &self.cluster).finish()
+    }
+}
+
+impl Membership {
+    /// The protocol's times that it sets.
+    pub fn timing(&self) -> Timing {
+        let (period, bury) = (Duration::from_millis(self.period_ms), Duration::from_millis(self.bury_ms));
+        Timing { period, gossip: period / 5, bury, ..Timing::default() }
+    }
+
+    fn check(&self) -> Result<(), Faulty> {
+        if self.cluster.is_empty() {
+            return Err(Faulty::new("membership.cluster", "it needs a name"));
+        }
+        if !self.secret.is_empty() && self.secret.len() < 16 {
+            return Err(Faulty::new("membership.secret", "16 bytes at least, or none"));
+        }
+        if !(1..=10_000).contains(&self.most) {
+            return Err(Faulty::new("membership.most", "1 to 10,000"));
+        }
+        if !(50..=10_000).contains(&self.period_ms) {
+            return Err(Faulty::new("membership.period_ms", "50 ms to 10 s"));
+        }
+        if self.bury_ms < 4 * self.period_ms || self.bury_ms > 600_000 {
+            return Err(Faulty::new("membership.bury_ms", "four periods at least, 10 minutes at most"));
+        }
+        if self.advertise.unwrap_or(self.listen).ip().is_unspecified() {
+            return Err(Faulty::new("membership.advertise", "an address at which others reach this one"));
+        }
+        Ok(())
+    }
 }
 
 /// Where records are kept, and how many.
@@ -63,12 +141,12 @@
     pub fn parse(text: &str) -> Result<Operator, String> {
         // The library's own message shows the line and the key, over several lines.
         let operator: Operator = toml::from_str(text).map_err(|error| format!("\n{error}"))?;
-        if let Some(records) = &operator.records {
-            records.check().map_err(|fault| match line_of(text, &fault.path) {
-                Some(line) => format!("line {line}: {fault}"),
-                None => fault.to_string(),
-            })?;
-        }
+        let records = operator.records.as_ref().map_or(Ok(()), Records::check);
+        let membership = operator.membership.as_ref().map_or(Ok(()), Membership::check);
+        records.and(membership).map_err(|fault| match line_of(text, &fault.path) {
+            Some(line) => format!("line {line}: {fault}"),
+            None => fault.to_string(),
+        })?;
         Ok(operator)
     }
 }
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -1,6 +1,7 @@
 //! Start and end of the process.
 
 use super::config::{Config, Error};
+use super::members;
 use super::opensearch_file::FrontFile;
 use super::operator::Operator;
 use super::process::Allowed;
@@ -19,6 +20,7 @@
 use crate::transport::gate::Gate;
 use crate::transport::index_servers::IndexServers;
 use crate::transport::listener::{self, Front};
+use crate::transport::members::{CONNECTIONS, Members};
 use crate::transport::places::Places;
 use crate::transport::stream::{Dial, Tcp};
 use crate::transport::watch;
@@ -34,6 +36,8 @@
 /// Descriptors that an operated process opens later than it reads its limits: the clients' listener, the place where a
 /// successor finds it, and the connection to it.
 const UPGRADE: usize = 3;
+/// Descriptors of one that talks with its fellows: its two sockets, and connections to and from them.
+const MEMBERS: usize = 2 + CONNECTIONS;
 /// How often the end looks whether all is answered.
 const LOOK: Duration = Duration::from_millis(10);
 /// Time past the longest deadline after which the end no longer waits for a client to read its answer.
@@ -55,7 +59,8 @@
             Some(_) => None,
             None => Some(Rc::new(TcpListener::bind(config.listen).await?)),
         };
-        let later = if alone.is_some() { 0 } else { UPGRADE };
+        let talks = if operator.membership.is_some() { MEMBERS } else { 0 };
+        let later = talks + if alone.is_some() { 0 } else { UPGRADE };
         let allowed = Allowed::read(config.sockets, config.memory_mb, later, operators.is_some());
         let places = places(&allowed)?;
         let (digest, longest) = (digest(&config.contracts), longest(&config.contracts));
@@ -75,12 +80,15 @@
         let workers = Workers::new(broker.clone(), dial.clone(), places.clone());
         spawn_local(workers.clone().give_way());
         let gate = Gate::new(places.clone(), longest);
+        let members = members::begin(operator.membership.as_ref(), &config.name, &broker, clock, &recording);
         let upgrade = alone
             .is_none()
             .then(|| Upgrade::new(broker.clone(), gate.clone(), clock, allowed, config.listen));
         if let (Some(listener), Some(upgrade)) = (operators, &upgrade) {
             log::info!("operators may call {}", listener.local_addr()?);
-            let desk = Operators { broker: broker.clone(), gate: gate.clone(), pair: upgrade.clone() };
+            let pair = upgrade.clone();
+            let desk =
+                Operators { broker: broker.clone(), gate: gate.clone(), pair, members: members.clone() };
             spawn_local(desk::attend(listener, Rc::new(desk), places.clone()));
         }
         let listener = match (alone, &upgrade) {
@@ -88,6 +96,9 @@
             (None, Some(upgrade)) => upgrade.begin().await?,
             (None, None) => return Err(io::ErrorKind::NotFound.into()),
         };
+        if let Some(members) = members.clone() {
+            spawn_local(members.take_part());
+        }
         let front = Platform { broker: broker.clone(), gate: gate.clone() };
         let watcher = broker.clone();
         let discovery = Sender::new(config.discovery);
@@ -103,7 +114,8 @@
             discovery.send_replace(config.discovery);
             Ok(news)
         }));
-        serve(listener, &config.name, broker, workers, front, gate, recording, upgrade).await
+        let beside = Beside { recording, upgrade, members };
+        serve(listener, &config.name, broker, workers, front, gate, beside).await
     })
 }
 
@@ -136,7 +148,8 @@
         spawn_local(servers.clone().give_way());
         let gate = Gate::new(places, longest);
         let front = OpenSearch::new(broker.clone(), clock, gate.clone(), file.names, start, seed);
-        serve(listener, "opensearch", broker, servers, front, gate, recording, None).await
+        let beside = Beside { recording, upgrade: None, members: None };
+        serve(listener, "opensearch", broker, servers, front, gate, beside).await
     })
 }
 
@@ -145,8 +158,14 @@
     LocalSet::new().block_on(&runtime, main)
 }
 
+/// What goes on beside serving.
+struct Beside {
+    recording: Recording,
+    upgrade: Option<Rc<Upgrade>>,
+    members: Option<Rc<Members>>,
+}
+
 /// Serves one front, from its first connection to its last answer.
-#[allow(clippy::too_many_arguments)]
 async fn serve(
     listener: Rc<TcpListener>,
     name: &str,
@@ -154,8 +173,7 @@
     carrier: impl Carrier + 'static,
     front: impl Front + 'static,
     gate: Rc<Gate>,
-    recording: Recording,
-    upgrade: Option<Rc<Upgrade>>,
+    Beside { recording, upgrade, members }: Beside,
 ) -> io::Result<()> {
     let longest = broker.core(|core| longest(core.contracts()));
     let at = listener.local_addr()?;
@@ -177,6 +195,10 @@
     });
     stopped().await?;
     let stop = upgrade.as_ref().map_or(Call::Stop, |upgrade| upgrade.stop());
+    if let Some(members) = members {
+        // The other process of an upgrade takes the address and the name over.
+        members.leave(stop == Call::Succeed);
+    }
     let answered = wind_up(&broker, &gate, stop, longest).await;
     kept.abort();
     recording.end(&broker, &gate, answered);
--- a/src/program/settings.rs
+++ b/src/program/settings.rs
@@ -142,6 +142,7 @@
                     0 => MULTIPLEX as usize,
                     most => most as usize,
                 },
+                may_tell: self.text("allowed.may-tell").is_none() || self.flag("allowed.may-tell")?,
             },
         })
     }
--- /dev/null
+++ b/src/protocol/gossip.rs
@@ -0,0 +1,172 @@
+//! What members tell each other, sealed: `clym`, a version, 16 bytes of a keyed BLAKE3 hash, and the message in postcard's
+//! form. A whole table goes over a connection, with its length (four bytes, least significant first) before it.
+
+use crate::membership::Message;
+use crate::membership::claim::{LONGEST_NAME, ROOM};
+use std::fmt;
+
+/// The version that this program speaks; it takes no other.
+pub const VERSION: u8 = 1;
+const MAGIC: &[u8; 4] = b"clym";
+const TAG: usize = 16;
+const HEAD: usize = MAGIC.len() + 1 + TAG;
+/// The longest datagram: it passes every network whole.
+pub const DATAGRAM: usize = 1200;
+/// The most that one claim takes.
+const CLAIM: usize = 2 * LONGEST_NAME + 48;
+/// What the key is for; a key of another use opens nothing here.
+const USE: &str = "clayshore membership, version 1";
+
+/// Why bytes are not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
+pub enum Unusable {
+    /// They are not in this form at all.
+    #[error("foreign")]
+    Foreign,
+    /// Another program's version.
+    #[error("version")]
+    Version,
+    /// Another cluster's, another secret's, or damaged.
+    #[error("seal")]
+    Seal,
+    /// Sealed, and yet no message.
+    #[error("form")]
+    Form,
+    /// Longer than any message.
+    #[error("length")]
+    Length,
+}
+
+/// Seals and opens what members of one cluster send.
+#[derive(Clone)]
+pub struct Seal([u8; 32]);
+
+impl fmt::Debug for Seal {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str("Seal")
+    }
+}
+
+impl Seal {
+    /// Of this cluster; without a secret it keeps clusters apart, but nobody out.
+    pub fn new(cluster: &str, secret: &str) -> Seal {
+        let material =
+            [&(cluster.len() as u64).to_le_bytes(), cluster.as_bytes(), secret.as_bytes()].concat();
+        Seal(blake3::derive_key(USE, &material))
+    }
+
+    fn tag(&self, body: &[u8]) -> [u8; TAG] {
+        let hash = blake3::keyed_hash(&self.0, body);
+        let mut tag = [0; TAG];
+        tag.copy_from_slice(&hash.as_bytes()[..TAG]);
+        tag
+    }
+
+    /// The bytes of a message.
+    pub fn close(&self, message: &Message) -> Result<Vec<u8>, Unusable> {
+        let body = postcard::to_stdvec(message).map_err(|_| Unusable::Form)?;
+        Ok([&MAGIC[..], &[VERSION], &self.tag(&body), &body].concat())
+    }
+
+    /// Reads a message.
+    pub fn open(&self, bytes: &[u8]) -> Result<Message, Unusable> {
+        let rest = bytes.strip_prefix(MAGIC).ok_or(Unusable::Foreign)?;
+        let (version, rest) = rest.split_first().ok_or(Unusable::Foreign)?;
+        if *version != VERSION {
+            return Err(Unusable::Version);
+        }
+        let (tag, body) = rest.split_at_checked(TAG).ok_or(Unusable::Seal)?;
+        // Compared by the hash's own type, in constant time: guards against a seal that is found byte by byte.
+        let sealed = blake3::keyed_hash(&self.0, body);
+        let mut found = *sealed.as_bytes();
+        found[..TAG].copy_from_slice(tag);
+        if sealed != found {
+            return Err(Unusable::Seal);
+        }
+        match postcard::take_from_bytes::<Message>(body) {
+            Ok((message, [])) if message.sound() => Ok(message),
+            _ => Err(Unusable::Form),
+        }
+    }
+
+    /// Reads a datagram.
+    pub fn datagram(&self, bytes: &[u8]) -> Result<Message, Unusable> {
+        if bytes.len() > DATAGRAM { Err(Unusable::Length) } else { self.open(bytes) }
+    }
+}
+
+/// The most bytes that a table of so many others takes.
+pub fn table(most: usize) -> usize {
+    HEAD + ROOM + most.saturating_add(2).saturating_mul(CLAIM)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::membership::claim::{Claim, Kind, Standing};
+    use proptest::prelude::*;
+
+    fn message(claims: usize, name: usize) -> Message {
+        let claim = |id: usize| Claim {
+            name: format!("{id:0name$}"),
+            start: u64::MAX,
+            incarnation: u32::MAX,
+            address: "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535".parse().expect("an address"),
+            zone: "z".repeat(name),
+            standing: Standing::Left,
+        };
+        let kind = Kind::Relayed { number: u32::MAX, claim: claim(0) };
+        Message { from: claim(1), kind, claims: (0..claims).map(claim).collect() }
+    }
+
+    #[test]
+    fn what_one_cluster_seals_no_other_opens() {
+        let seal = Seal::new("tbilisi", "s1");
+        let bytes = seal.close(&message(2, 5)).expect("sealed");
+        assert_eq!(seal.datagram(&bytes), Ok(message(2, 5)));
+        for other in [Seal::new("tbilisi", "s2"), Seal::new("tbilisis", "1"), Seal::new("kutaisi", "s1")] {
+            assert_eq!(other.datagram(&bytes), Err(Unusable::Seal));
+        }
+        let mut newer = bytes.clone();
+        newer[4] = 2;
+        assert_eq!(seal.datagram(&newer), Err(Unusable::Version));
+        assert_eq!(seal.datagram(b"GET / HTTP/1.1"), Err(Unusable::Foreign));
+        assert_eq!(seal.datagram(&[0; 1201]), Err(Unusable::Length));
+    }
+
+    #[test]
+    fn a_message_of_the_longest_names_fits_into_a_datagram() {
+        for name in [1, 20, LONGEST_NAME] {
+            let full = (0..).map(|claims| message(claims, name)).take_while(|message| message.size() <= ROOM);
+            let length = Seal::new("", "").close(&full.last().expect("one")).expect("sealed").len();
+            assert!(length <= DATAGRAM && length > DATAGRAM / 2, "names of {name}: {length} bytes");
+        }
+        let table_bytes = Seal::new("", "").close(&message(1000, LONGEST_NAME)).expect("sealed").len();
+        assert!(table_bytes <= table(1000));
+    }
+
+    proptest! {
+        #[test]
+        fn no_bytes_are_a_panic_and_no_changed_byte_is_taken(
+            noise in prop::collection::vec(any::<u8>(), 0..300), at in 0..500_usize, flip in 1..=255_u8,
+        ) {
+            let seal = Seal::new("tbilisi", "s1");
+            prop_assert!(seal.datagram(&noise).is_err());
+            let mut sealed = seal.close(&message(2, 9)).expect("sealed");
+            let at = at % sealed.len();
+            sealed[at] ^= flip;
+            prop_assert!(seal.datagram(&sealed).is_err());
+        }
+
+        // Behind the seal too: who holds the secret may still send what is no message.
+        #[test]
+        fn sealed_noise_is_no_message(noise in prop::collection::vec(any::<u8>(), 0..200)) {
+            let seal = Seal::new("tbilisi", "s1");
+            let bytes = [&MAGIC[..], &[VERSION], &seal.tag(&noise), &noise].concat();
+            match seal.datagram(&bytes) {
+                Err(error) => prop_assert_eq!(error, Unusable::Form),
+                Ok(message) => prop_assert!(message.sound()),
+            }
+        }
+    }
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod discovery;
 pub mod frame;
+pub mod gossip;
 pub mod handover;
 pub mod http;
 pub mod opensearch;
--- a/src/records/line.rs
+++ b/src/records/line.rs
@@ -1,6 +1,7 @@
 //! One record: a line of JSON with a version, a place in its start's sequence, and a checksum.
 
 use super::figures::Second;
+use crate::membership::State;
 use crc::{CRC_32_ISCSI, Crc};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -73,6 +74,15 @@
         /// How it is seen.
         state: WorkerState,
     },
+    /// Another gatherer stands otherwise than before, as this one sees it.
+    Member {
+        /// Its name.
+        member: String,
+        /// Its process, by the time of its start in Unix nanoseconds.
+        process: u64,
+        /// How it stands.
+        state: State,
+    },
     /// Clients ask for more than is served, or no longer do.
     Overload {
         /// Whether it begins.
--- a/src/records/summary.rs
+++ b/src/records/summary.rs
@@ -212,6 +212,9 @@
             Body::Worker { worker, state } => {
                 self.tell(at_ms, key, format!("worker {worker} {state:?}").to_lowercase());
             }
+            Body::Member { member, state, .. } => {
+                self.tell(at_ms, key, format!("gatherer {member} {state:?}").to_lowercase());
+            }
             Body::Overload { begins } => {
                 let what = if begins { "overload begins" } else { "overload ends" };
                 self.tell(at_ms, key, what.to_owned());
--- a/src/routing/contracts.rs
+++ b/src/routing/contracts.rs
@@ -15,6 +15,8 @@
     pub conn_idle: Duration,
     /// Parts that one connection carries at once.
     pub multiplex: usize,
+    /// Gatherers may talk with each other.
+    pub may_tell: bool,
 }
 
 /// The names behind the module's numbers, and the settings that go with them.
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -434,6 +434,18 @@
         self.module.push_cold_by(whole / f64::from(self.processes));
     }
 
+    /// So many gatherers share the fleet: in place of the settings' number, for cold servers, trials of suspects, tenants'
+    /// quotas and calls to discovery.
+    pub fn among(&mut self, gatherers: u32) {
+        self.contracts.settings.roots = gatherers.max(1);
+        self.module.among(gatherers);
+    }
+
+    /// How many share it.
+    pub fn gatherers(&self) -> u32 {
+        self.contracts.settings.roots
+    }
+
     /// The list as discovery last told it.
     pub fn list_told(&self) -> Listing {
         let mut members: Vec<Member> = self.listed.values().cloned().collect();
--- a/src/rules/learned.rs
+++ b/src/rules/learned.rs
@@ -69,6 +69,11 @@
         self.settings.fall_multiple = multiple;
     }
 
+    /// So many roots share the fleet, in place of the number of its settings.
+    pub fn among(&mut self, roots: u32) {
+        self.settings.roots = roots.max(1);
+    }
+
     /// What it has learned of the leaves that have a name.
     pub fn learned<'a>(&self, name: impl Fn(LeafId) -> Option<&'a str>) -> Learned {
         let of = |(id, leaf): (&LeafId, &Leaf)| {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -5,6 +5,7 @@
 pub mod gate;
 pub mod index_servers;
 pub mod listener;
+pub mod members;
 pub mod places;
 pub mod relay;
 pub mod stream;
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -52,6 +52,7 @@
             log::warn!("discovery at {at}: {error}; serving goes on with the last list");
             said = error;
         }
+        backoff.among(broker.core(|core| core.gatherers()));
         // Guards against keeping an overbooked discovery so: a constant pause of all gatherers never let it recover.
         pause = backoff.pause(overbooked);
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // each test file uses its own share of this
 
 pub mod fleet;
+pub mod links;
 pub mod process;
 
 use clayshore::Aggregator;
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -229,21 +229,36 @@
 
     /// The same, without waiting until it serves.
     pub fn begin(folder: &Folder, config: &serde_json::Value) -> Gatherer {
-        Gatherer::begin_with(folder, config, folder)
+        Gatherer::begin_with(folder, config, folder, None)
+    }
+
+    /// The same with an operator's file.
+    pub fn begin_operated(folder: &Folder, config: &serde_json::Value, operator: &str) -> Gatherer {
+        Gatherer::begin_with(folder, config, folder, Some(operator))
     }
 
     /// The same, where it may write elsewhere.
     pub fn start_with(folder: &Folder, config: &serde_json::Value, scratch: &Folder) -> Gatherer {
-        let gatherer = Gatherer::begin_with(folder, config, scratch);
+        let gatherer = Gatherer::begin_with(folder, config, scratch, None);
         gatherer.logged(" serving on ");
         gatherer
     }
 
-    fn begin_with(folder: &Folder, config: &serde_json::Value, scratch: &Folder) -> Gatherer {
+    fn begin_with(
+        folder: &Folder,
+        config: &serde_json::Value,
+        scratch: &Folder,
+        operator: Option<&str>,
+    ) -> Gatherer {
         let file = folder.0.join(format!("config-{}.json", fastrand::u64(..)));
         std::fs::write(&file, config.to_string()).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_clayshore"));
         command.env_clear().env("LB_CONFIG", &file).env("TMPDIR", &scratch.0).stderr(Stdio::piped());
+        if let Some(text) = operator {
+            let file = file.with_extension("toml");
+            std::fs::write(&file, text).expect("written");
+            command.args(["serve", "--operator"]).arg(file);
+        }
         let mut child = command.spawn().expect("the program starts");
         let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let log: Arc<(Mutex<Vec<String>>, Condvar)> = Arc::default();
@@ -299,9 +314,13 @@
 /// An address for two processes to share. It is one that no stand-in and no client uses: a port that was free a moment
 /// ago on the usual one may be another test's by now.
 pub fn free() -> String {
+    listen().local_addr().expect("an address").to_string()
+}
+
+/// A listener on such an address.
+pub fn listen() -> TcpListener {
     let [a, b, c, ..] = fastrand::u32(..).to_le_bytes();
-    let listener = TcpListener::bind((std::net::Ipv4Addr::new(127, a.max(1), b, c), 0)).expect("a port");
-    listener.local_addr().expect("an address").to_string()
+    TcpListener::bind((std::net::Ipv4Addr::new(127, a.max(1), b, c), 0)).expect("a port")
 }
 
 /// A configuration with addresses of its own.
--- /dev/null
+++ b/tests/members.rs
@@ -0,0 +1,160 @@
+//! Membership with real processes of the program, and a relay before each that injects faults: what every process ends up
+//! knowing, and that nobody who lives is buried meanwhile.
+
+mod common;
+
+use common::links::Fleet;
+use common::process::{operate, until};
+use std::net::UdpSocket;
+use std::process::Command;
+
+#[test]
+fn a_killed_process_is_dead_to_all_and_its_next_start_is_new() {
+    let mut fleet = Fleet::start("killed", 5);
+    assert!(fleet.living().iter().all(|id| fleet.gatherers(*id) == 5));
+    fleet.kill(0);
+    for id in 1..5 {
+        until("dead to all", || fleet.sees(id, 0) == "dead");
+        // It is certain, so that its share is the others' at once; the core goes by the number.
+        assert_eq!(fleet.gatherers(id), 4);
+        fleet.member(id).logged("members: 4 gatherers share the fleet");
+    }
+    // The first seed is down: a further member is found through the second, and the first comes back through it too.
+    fleet.kill(4);
+    (1..4).for_each(|id| until("both dead", || fleet.gatherers(id) == 3));
+    fleet.begin(4);
+    fleet.begin(0);
+    fleet.agreed();
+    assert_eq!(fleet.deaths_but_of(&[0, 4]), Vec::<String>::new());
+}
+
+#[test]
+fn one_that_stands_still_is_suspected_and_neither_buried_nor_burying() {
+    let fleet = Fleet::start("still", 5);
+    for id in [3, 4] {
+        fleet.member(id).signal("-STOP");
+    }
+    for id in 0..3 {
+        until("suspected", || ["suspect", "silent"].contains(&fleet.sees(id, 3).as_str()));
+        // Whatever it turns out to be, its share stays its own.
+        assert_eq!(fleet.gatherers(id), 5);
+    }
+    // All of these were still for longer than any answer takes: who wakes is not to hold that against the others.
+    for id in [3, 4] {
+        fleet.member(id).signal("-CONT");
+    }
+    fleet.agreed();
+    assert_eq!(fleet.deaths_but_of(&[3, 4]), Vec::<String>::new());
+    assert!(fleet.living().iter().all(|id| fleet.gatherers(*id) == 5));
+}
+
+#[test]
+fn a_network_that_loses_and_doubles_buries_nobody_and_hides_no_death() {
+    let mut fleet = Fleet::start("lossy", 6);
+    {
+        let mut faults = fleet.faults.lock().expect("sound");
+        (faults.loss, faults.twice) = (0.2, 0.2);
+    }
+    fleet.kill(5);
+    for id in 0..5 {
+        until("dead to all", || fleet.sees(id, 5) == "dead");
+    }
+    // Another one joins through it.
+    fleet.begin(5);
+    fleet.agreed();
+    assert_eq!(fleet.deaths_but_of(&[5]), Vec::<String>::new());
+}
+
+#[test]
+fn halves_keep_their_shares_and_meet_again_without_a_burial() {
+    let fleet = Fleet::start("halves", 6);
+    let (left, right) = ([0, 1, 2], [3, 4, 5]);
+    fleet.cut(&left, &right);
+    fleet.cut(&right, &left);
+    for id in 0..6 {
+        let others = if id < 3 { right } else { left };
+        for other in others {
+            until("silent", || fleet.sees(id, other) == "silent");
+        }
+        // Neither half is a majority, so neither takes the other's share.
+        assert_eq!(fleet.gatherers(id), 6);
+    }
+    let before = fleet.deaths_but_of(&[]).len();
+    fleet.heal();
+    fleet.agreed();
+    assert_eq!(fleet.deaths_but_of(&[]).len(), before, "merging buries nobody");
+}
+
+#[test]
+fn a_cut_one_way_between_two_is_known_as_that() {
+    let fleet = Fleet::start("one_way", 5);
+    fleet.cut(&[1], &[4]);
+    until("told apart", || fleet.sees(4, 1) == "cut");
+    for id in [0, 2, 3] {
+        assert_eq!((fleet.sees(id, 1).as_str(), fleet.sees(id, 4).as_str()), ("alive", "alive"));
+    }
+    fleet.heal();
+    until("over", || fleet.sees(4, 1) == "alive");
+    assert_eq!(fleet.deaths_but_of(&[]), Vec::<String>::new());
+}
+
+#[test]
+fn an_upgrade_is_one_member_and_who_stops_has_left() {
+    let mut fleet = Fleet::start("upgraded", 5);
+    let start = |fleet: &Fleet| {
+        let view = fleet.view(0);
+        let rows = view["members"].as_array().expect("rows").clone();
+        rows.iter().find(|row| row["name"] == "g2").expect("listed")["start"].as_u64()
+    };
+    let before = start(&fleet);
+    let second = fleet.beside(2);
+    second.logged(" serving on ");
+    let mut first = fleet.members[2].replace(second).expect("it runs");
+    first.signal("-TERM");
+    assert!(first.ended());
+    until("the second's start", || start(&fleet) > before);
+    fleet.agreed();
+    assert_eq!(fleet.deaths_but_of(&[]), Vec::<String>::new());
+    // A planned end needs no proof.
+    let mut last = fleet.members[4].take().expect("it runs");
+    last.signal("-TERM");
+    for id in 0..4 {
+        until("left", || fleet.sees(id, 4) == "left");
+        assert_eq!(fleet.gatherers(id), 4);
+    }
+    assert!(last.ended());
+    assert_eq!(fleet.deaths_but_of(&[]), Vec::<String>::new());
+}
+
+#[test]
+fn strangers_are_counted_and_change_nothing_and_people_see_who_is_there() {
+    let fleet = Fleet::start("strangers", 5);
+    let view = fleet.view(0);
+    let address = view["own"]["address"].as_str().expect("an address").to_owned();
+    let stranger = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let long = [0; 1400];
+    for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], b"clym\x07later", b"clym\x01short", &long] {
+        stranger.send_to(bytes, &address).expect("sent");
+    }
+    for why in ["foreign", "version", "seal", "length"] {
+        until(why, || fleet.view(0)["refused"][why].as_u64() == Some(1));
+    }
+    fleet.agreed();
+    let run = |extra: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_clayshore"));
+        let out =
+            command.args(["members", &fleet.member(0).operators]).args(extra).output().expect("it runs");
+        assert!(out.status.success(), "{out:?}");
+        String::from_utf8(out.stdout).expect("text")
+    };
+    let text = run(&[]);
+    assert!(
+        text.starts_with("5 gatherers share the fleet\n") && text.contains("not taken, seal: 1"),
+        "{text}"
+    );
+    assert_eq!(text.lines().filter(|line| line.starts_with('g')).count(), 5, "{text}");
+    let json: serde_json::Value = serde_json::from_str(&run(&["--json"])).expect("JSON");
+    assert_eq!(json["members"].as_array().map(Vec::len), Some(4));
+    // A wrong call changes nothing.
+    assert_eq!(operate(&fleet.member(0).operators, "PUT", "/-/members").0, 405);
+}
