--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod census;
 pub mod claim;
+pub mod news;
 pub mod node;
 pub mod table;
 
--- a/src/membership/node.rs
+++ b/src/membership/node.rs
@@ -2,6 +2,7 @@
 
 use super::census::Census;
 use super::claim::{Claim, Kind, Message, ROOM, Standing};
+use super::news::News;
 use super::table::{Change, Link, State, Table};
 use crate::api::Time;
 use std::collections::BTreeMap;
@@ -128,8 +129,8 @@
     probes: BTreeMap<u32, Probe>,
     /// Questions asked for others: who asked, with which number, and when.
     helping: BTreeMap<u32, (SocketAddr, u32, Time)>,
-    /// Names of which there is news, and how often it is yet to be passed on.
-    news: BTreeMap<String, u32>,
+    /// Names of which there is news.
+    news: News,
     bury: BTreeMap<String, Time>,
     /// Whose machine has refused once, and when it is to be tried again.
     refused: BTreeMap<String, (u64, Time)>,
@@ -166,7 +167,7 @@
             number: 0,
             probes: BTreeMap::new(),
             helping: BTreeMap::new(),
-            news: BTreeMap::new(),
+            news: News::default(),
             bury: BTreeMap::new(),
             refused: BTreeMap::new(),
             heard: now,
@@ -414,26 +415,17 @@
             message.claims.push(seen.claim.clone());
         }
         let mut room = ROOM.saturating_sub(message.size());
-        let mut fresh: Vec<(u32, String)> =
-            self.news.iter().map(|(name, left)| (*left, name.clone())).collect();
-        // What was passed on least goes first; among equals by lot, so that no name is always the last.
-        self.random.shuffle(&mut fresh);
-        fresh.sort_by_key(|(left, _)| std::cmp::Reverse(*left));
-        for (left, name) in fresh {
-            let Some(seen) = self.table.get(&name) else {
-                self.news.remove(&name);
-                continue;
-            };
-            let Some(rest) = room.checked_sub(seen.claim.size()) else { break };
+        let table = &self.table;
+        self.news.pass_on(|name| {
+            // Who is forgotten is no news any more, and takes no room.
+            let Some(seen) = table.get(name) else { return true };
+            let Some(rest) = room.checked_sub(seen.claim.size()) else { return false };
             room = rest;
-            if about != Some(name.as_str()) {
+            if about != Some(name) {
                 message.claims.push(seen.claim.clone());
             }
-            match left {
-                0 | 1 => drop(self.news.remove(&name)),
-                left => drop(self.news.insert(name, left - 1)),
-            }
-        }
+            true
+        });
         self.orders.push(Order::Send { to, message });
     }
 
@@ -586,7 +578,8 @@
         let Some(seen) = self.table.get(&claim.name) else { return };
         let (state, start) = (seen.state(), seen.claim.start);
         let doublings = u32::BITS - (self.table.iter().count() as u32 + 1).leading_zeros();
-        self.news.insert(claim.name.clone(), REPEATS * doublings);
+        let lot = self.random.u64(..);
+        self.news.add(&claim.name, REPEATS * doublings, lot);
         if claim.standing == Standing::Suspect {
             self.bury.entry(claim.name.clone()).or_insert(now.after(self.timing.bury));
             let chance = HURRIED / self.table.present().count().max(1) as f64;
