Draw faults by lot inside the stated bounds, and show that the guards are needed

Seen: without the guard of one's own cut a member buries all five others; without that of its own stall one that reads a word before its timers buries who answered meanwhile. With timers always first, as the laboratory had it, the second was not seen.

--- a/examples/membership_ways.rs
+++ b/examples/membership_ways.rs
@@ -150,7 +150,8 @@
         self.own.start
     }
     fn sees(&self, other: &str) -> Option<State> {
-        self.all().into_iter().find(|(name, _)| name == other).map(|(_, state)| state)
+        let member: u16 = other.rsplit('-').next()?.parse().ok()?;
+        self.foca.iter_members().any(|seen| seen.id().member == member).then_some(State::Alive)
     }
     fn all(&self) -> Vec<(String, State)> {
         self.foca.iter_members().map(|member| (name(usize::from(member.id().member)), State::Alive)).collect()
--- a/src/lab/world.rs
+++ b/src/lab/world.rs
@@ -378,9 +378,15 @@
             return;
         }
         if process.still.take().is_some() {
-            // What the kernel kept is read in any order with the timers; here the timer goes first.
+            // What the kernel kept is read in any order with the timers: by lot the first of it goes before them.
+            let mut kept = std::mem::take(&mut process.kept);
+            let first = kept.iter().position(|kept| matches!(kept, Happening::Datagram(..)));
+            if let Some(first) = first.filter(|_| self.random.bool())
+                && let Happening::Datagram(_, message) = kept.remove(first)
+            {
+                node.hear(now, message);
+            }
             node.tick(now);
-            let kept = std::mem::take(&mut process.kept);
             kept.into_iter().for_each(|happening| self.at(now, happening));
             return self.settle(to, true);
         }
--- a/src/membership/node.rs
+++ b/src/membership/node.rs
@@ -17,10 +17,6 @@
 const HURRIED: f64 = 4.0;
 /// Times that news is passed on, for each doubling of the fleet.
 const REPEATS: u32 = 3;
-/// A jump of the clock between two beats, in periods, from which this process stood still itself.
-const STALL: u32 = 3;
-/// Time without a word from anybody after which this one is cut off itself.
-const ALONE: Duration = Duration::from_secs(2);
 /// Time between two refused connections that prove an end.
 const KNOCK_AGAIN: Duration = Duration::from_millis(100);
 /// How long a member that moves to another process is waited for.
@@ -45,6 +41,10 @@
     pub gossip: Duration,
     /// From suspicion to burial.
     pub bury: Duration,
+    /// A jump of the clock between two ticks from which this process stood still itself.
+    pub stall: Duration,
+    /// Time without a word from anybody after which this one is cut off itself.
+    pub alone: Duration,
     /// Between two exchanges of whole tables.
     pub exchange: Duration,
     /// Between two attempts to find who was lost.
@@ -59,6 +59,8 @@
             period: Duration::from_millis(500),
             gossip: Duration::from_millis(100),
             bury: Duration::from_secs(10),
+            stall: Duration::from_millis(1500),
+            alone: Duration::from_secs(2),
             exchange: Duration::from_secs(15),
             again: Duration::from_secs(3),
             remember: (Duration::from_secs(60), Duration::from_secs(600)),
@@ -194,7 +196,7 @@
     }
     /// Nobody has been heard for so long that it is itself the one that is cut off.
     pub fn alone(&self, now: Time) -> bool {
-        now.since(self.heard) >= ALONE && self.table.present().next().is_some()
+        now.since(self.heard) >= self.timing.alone && self.table.present().next().is_some()
     }
     /// What is to be done.
     pub fn orders(&mut self) -> Vec<Order> {
@@ -221,7 +223,7 @@
     pub fn tick(&mut self, now: Time) {
         let jump = now.since(self.last);
         self.last = self.last.max(now);
-        if jump > self.timing.period * STALL {
+        if jump > self.timing.stall {
             self.stood_still(now, jump);
         }
         self.pursue(now);
