--- a/src/membership/node.rs
+++ b/src/membership/node.rs
@@ -440,12 +440,12 @@
     /// Takes a message of another member.
     pub fn hear(&mut self, now: Time, message: Message) {
         let Message { from, kind, claims } = message;
+        if !Node::answerable(now, &from) {
+            return;
+        }
         if from.name == self.own.name {
             return self.about_self(&from);
         }
-        if from.start > now.after(AHEAD).0 || from.incarnation > MOST_INCARNATION {
-            return;
-        }
         if let Some(seen) = self.table.get(&from.name).filter(|seen| seen.claim.start > from.start) {
             // An older process, or a datagram of it that was kept; or one whose clock was set back, which then hears of
             // its later start and goes beyond it.
@@ -536,7 +536,7 @@
 
     /// Takes a claim; one of a whole table only says what another half believed.
     fn learn(&mut self, now: Time, claim: &Claim, whole: bool) {
-        if claim.start > now.after(AHEAD).0 || claim.incarnation > MOST_INCARNATION {
+        if !Node::answerable(now, claim) {
             return;
         }
         if claim.name == self.own.name {
@@ -551,13 +551,14 @@
 
     /// What is said of this one: it is there, whatever that says.
     fn about_self(&mut self, claim: &Claim) {
-        if !self.own.standing.present()
-            || self.own.standing == Standing::Moving
-            || claim.start < self.own.start
-        {
+        let ends = !self.own.standing.present() || self.own.standing == Standing::Moving;
+        if ends || claim.start < self.own.start {
             return;
         }
-        if claim.start > self.own.start {
+        // What no incarnation answers is answered by a later start: another's use of the name, a farewell that this one
+        // never said, an incarnation that nobody comes to.
+        let beyond = claim.standing == Standing::Left || claim.incarnation >= MOST_INCARNATION;
+        if claim.start > self.own.start || beyond {
             (self.own.start, self.own.incarnation) = (claim.start + 1, 0);
             self.orders.push(Order::Taken);
         } else if claim.standing != Standing::Alive && claim.incarnation >= self.own.incarnation {
@@ -571,6 +572,11 @@
         }
     }
 
+    /// Whether a claim is one that its member could answer; others come from nobody who means well.
+    fn answerable(now: Time, claim: &Claim) -> bool {
+        claim.start <= now.after(AHEAD).0 && claim.incarnation <= MOST_INCARNATION
+    }
+
     /// The one place where what is known of a member changes.
     fn apply(&mut self, now: Time, claim: &Claim) {
         let before = self.table.get(&claim.name).map(|seen| (seen.state(), seen.claim.start));
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -33,7 +33,7 @@
 }
 
 /// What others are told of a member, in a word.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     /// Claimed by others, and not yet heard here.
--- a/tests/membership_faults.rs
+++ b/tests/membership_faults.rs
@@ -2,8 +2,9 @@
 //! all agree again afterwards. And proof that the guards are needed: without each, somebody who lives is buried.
 
 use clayshore::lab::world::{self, Net};
-use clayshore::membership::{Node, State, Timing};
+use clayshore::membership::{Claim, Kind, Message, Node, Standing, State, Timing};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::time::Duration;
 
 type World = world::World<Node>;
@@ -14,6 +15,18 @@
     Duration::from_millis(span)
 }
 
+/// The same cases each time.
+fn fixed(cases: u32) -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(23);
+    ProptestConfig {
+        cases,
+        max_shrink_iters: 200,
+        rng_seed,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 /// What may happen. All that silences a member together stays under the time to its burial.
 #[derive(Clone, Debug)]
 enum Fault {
@@ -70,7 +83,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 200, max_shrink_iters: 200, ..ProptestConfig::default() })]
+    #![proptest_config(fixed(200))]
     #[test]
     fn inside_the_bounds_nobody_who_lives_is_buried_and_all_agree_again(
         seed in 0..1_000_000_u64, faults in prop::collection::vec((fault(), 0..4000_u64), 1..5),
@@ -123,3 +136,61 @@
     assert_eq!(stalls(Timing::default()), 0);
     assert!(stalls(Timing { stall: never, ..Timing::default() }) > 0);
 }
+
+/// Claims about a member that no member made.
+fn forged() -> impl Strategy<Value = Claim> {
+    let start = prop_oneof![
+        2 => Just(None),
+        1 => (0..200_u64).prop_map(Some),
+        1 => Just(Some(u64::MAX)),
+    ];
+    let incarnation = prop_oneof![0..4_u32, Just(u32::MAX / 2), Just(u32::MAX / 2 - 1), Just(u32::MAX)];
+    let standing = prop_oneof![
+        Just(Standing::Alive),
+        Just(Standing::Moving),
+        Just(Standing::Suspect),
+        Just(Standing::Silent),
+        Just(Standing::Dead),
+        Just(Standing::Left),
+    ];
+    (0..MEMBERS + 2, start, incarnation, standing).prop_map(|(id, start, incarnation, standing)| Claim {
+        name: world::name(id),
+        // None stands for the start that the member has; the others for later ones, by milliseconds, and for the last.
+        start: start.map_or(0, |later| later.saturating_mul(1_000_000).max(1)),
+        incarnation,
+        address: world::address(id),
+        zone: String::new(),
+        standing,
+    })
+}
+
+proptest! {
+    #![proptest_config(fixed(100))]
+    #[test]
+    fn who_forges_claims_is_answered_and_all_that_live_are_there_again(
+        forgeries in prop::collection::vec((0..MEMBERS, forged(), forged(), 0..900_u64), 1..12),
+    ) {
+        let mut world = World::of_nodes(MEMBERS, 1, Timing::default());
+        let starts: Vec<u64> = (0..MEMBERS).filter_map(|id| Some(world.node(id)?.own().start)).collect();
+        let real = |claim: Claim| {
+            let id: usize = claim.name[9..].parse().expect("a number");
+            let base = starts.get(id).copied().unwrap_or(starts[0]);
+            let start = if claim.start == u64::MAX { u64::MAX } else { base.saturating_add(claim.start) };
+            Claim { start, ..claim }
+        };
+        for (to, from, claim, then) in forgeries {
+            let (from, claims) = (real(from), vec![real(claim)]);
+            world.forge(to, Message { from, kind: Kind::Gossip, claims });
+            world.pass(ms(then));
+        }
+        // Members that were made up fall silent or are found dead; nobody else stays buried.
+        let there = |world: &World| {
+            world.living().all(|by| (0..MEMBERS).filter(|id| *id != by).all(|id| {
+                world.sees(by, id).is_some_and(world::there)
+            }))
+        };
+        world.pass(Duration::from_secs(15));
+        prop_assert!(world.until(Duration::from_secs(30), there).is_some());
+        prop_assert!((0..MEMBERS).all(|id| world.gatherers(id).is_some_and(|number| number <= MEMBERS as u32 + 2)));
+    }
+}
