--- a/examples/membership_ways.rs
+++ b/examples/membership_ways.rs
@@ -1,5 +1,5 @@
 //! Ways of keeping membership, side by side in the same worlds: this program's, and the crate `foca` as it comes and with
-//! quicker times. Prints tables; `quick` plays a part of it.
+//! quicker times. Prints tables; `quick` plays a part of it, `thousand` deaths among a thousand members.
 
 use clayshore::api::Time;
 use clayshore::lab::world::{Act, Peer, World, address, name};
@@ -207,7 +207,12 @@
 
 fn main() {
     let quick = std::env::args().any(|word| word == "quick");
-    let sizes: &[usize] = if quick { &[5, 30] } else { &[5, 30, 300, 1000] };
+    let thousand = std::env::args().any(|word| word == "thousand");
+    let sizes: &[usize] = match (quick, thousand) {
+        (true, _) => &[5, 30],
+        (_, true) => &[1000],
+        _ => &[5, 30, 300],
+    };
     let hour = if quick { 300.0 } else { 3600.0 };
 
     println!(
--- a/src/lab/chart.rs
+++ b/src/lab/chart.rs
@@ -7,7 +7,8 @@
 const SIZE: (u32, u32) = (900, 420);
 const TRUTH: RGBColor = RGBColor(90, 90, 90);
 const KNOWN: RGBColor = RGBColor(0, 114, 178);
-const NUMBER: RGBColor = RGBColor(213, 94, 0);
+const LEAST: RGBColor = RGBColor(213, 94, 0);
+const MOST: RGBColor = RGBColor(240, 190, 110);
 
 /// What a curve shows, its colour, and its value at a moment.
 type Curve = (&'static str, RGBColor, fn(&Moment) -> f64);
@@ -62,10 +63,10 @@
         .build_cartesian_2d(0.0..last, 0.0..f64::from(top) * 1.1)?;
     chart.configure_mesh().x_desc("seconds").y_desc("members").disable_x_mesh().draw()?;
     let lines: [Curve; 4] = [
+        ("greatest number gone by", MOST, |moment| f64::from(moment.most)),
+        ("least number gone by", LEAST, |moment| f64::from(moment.least)),
         ("living (the truth)", TRUTH, |moment| moment.living as f64),
         ("members that see just those", KNOWN, |moment| moment.agreeing as f64),
-        ("least number gone by", NUMBER, |moment| f64::from(moment.least)),
-        ("greatest number gone by", NUMBER, |moment| f64::from(moment.most)),
     ];
     for (label, colour, value) in lines {
         let points = outcome.moments.iter().map(|moment| (moment.at, value(moment)));
