Reckon the line that a fault of the operator's file is on; test the membership table's checks

Ruled out: the check itself, which names the right line. The test reckons the line from the file now, and has the membership table's faults and that its secret is not printed.

--- a/tests/program.rs
+++ b/tests/program.rs
@@ -300,16 +300,34 @@
     let operator = include_str!("../deploy/operator.toml");
     let parse = clayshore::program::operator::Operator::parse;
     assert!(parse(operator).is_ok_and(|operator| operator.records.is_some()));
+    // What is added stands behind the file's last line.
+    let added = format!("line {}: records.", operator.lines().count() + 1);
     let cases = [
-        ("segment_kb = 1", "line 11: records.segment_kb: 64 kB"),
-        ("segment_s = 0", "line 11: records.segment_s: 1 second"),
-        ("all_kb = 5000", "line 11: records.all_kb: two segments"),
-        ("segment_mb = 3", "unknown field `segment_mb`"),
+        ("segment_kb = 1", format!("{added}segment_kb: 64 kB")),
+        ("segment_s = 0", format!("{added}segment_s: 1 second")),
+        ("all_kb = 5000", format!("{added}all_kb: two segments")),
+        ("segment_mb = 3", "unknown field `segment_mb`".to_owned()),
     ];
     for (line, message) in cases {
         let error = parse(&format!("{operator}{line}\n")).expect_err(line);
+        assert!(error.contains(&message), "{line}: {error}");
+    }
+    let membership = "[membership]\nlisten = \"127.0.0.1:7946\"\ncluster = \"c\"\nseeds = []\n";
+    assert!(parse(membership).is_ok_and(|operator| operator.membership.is_some()));
+    let cases = [
+        ("secret = \"short\"", "line 5: membership.secret: 16 bytes"),
+        ("most = 0", "line 5: membership.most: 1 to"),
+        ("period_ms = 10", "line 5: membership.period_ms: 50 ms"),
+        ("bury_ms = 1000", "line 5: membership.bury_ms: four periods"),
+        ("advertise = \"0.0.0.0:7946\"", "line 5: membership.advertise: an address"),
+        ("seed = []", "unknown field `seed`"),
+    ];
+    for (line, message) in cases {
+        let error = parse(&format!("{membership}{line}\n")).expect_err(line);
         assert!(error.contains(message), "{line}: {error}");
     }
+    let secret = format!("{membership}secret = \"not to be printed\"\n");
+    assert!(!format!("{:?}", parse(&secret).expect("sound")).contains("not to be"));
     let shipped =
         clayshore::program::opensearch_file::FrontFile::parse(include_str!("../deploy/opensearch.toml"), 1);
     assert!(shipped.is_ok(), "{shipped:?}");
