Count refusals within one open question only: a firewall that refuses is no death

Checked: the first refusal stood under the member's name and outlived the question it came from; a second one counted that came while another question was open (node.rs, knocked). Also: who learns of members by a whole table does not pass them on, for all would pass on all.

--- a/src/lab/world.rs
+++ b/src/lab/world.rs
@@ -187,6 +187,8 @@
     serial: u64,
     /// From whom to whom nothing passes.
     pub cuts: BTreeSet<(usize, usize)>,
+    /// Whoever cuts refuses connections, as a firewall may, in place of dropping them.
+    pub refusing: bool,
     /// Whether each of the next datagrams is lost; lots decide of those behind them.
     pub script: VecDeque<bool>,
     /// Everything that was told.
@@ -245,6 +247,7 @@
             happenings: HashMap::new(),
             serial: 0,
             cuts: BTreeSet::new(),
+            refusing: false,
             script: VecDeque::new(),
             told: Vec::new(),
             sent: (0, 0, 0),
@@ -440,6 +443,7 @@
                     let there = self.processes.get(to).is_some_and(|process| process.node.is_some());
                     let cut = self.cuts.contains(&(by, to)) || self.cuts.contains(&(to, by));
                     let (end, ms) = match (cut, there) {
+                        (true, _) if self.refusing => (Knock::Refused, 2),
                         (true, _) => (Knock::Silent, 300),
                         (_, true) => (Knock::Open, 2),
                         (_, false) => (Knock::Refused, 2),
--- a/src/membership/node.rs
+++ b/src/membership/node.rs
@@ -17,8 +17,8 @@
 const HURRIED: f64 = 4.0;
 /// Times that news is passed on, for each doubling of the fleet.
 const REPEATS: u32 = 3;
-/// Time between two refused connections that prove an end.
-const KNOCK_AGAIN: Duration = Duration::from_millis(100);
+/// Part of a period between two refused connections that prove an end: the question they come from is open for all of it.
+const KNOCK_AGAIN: u32 = 5;
 /// How long a member that moves to another process is waited for.
 const MOVING: Duration = Duration::from_secs(10);
 /// Members up to which tables are exchanged as often as [`Timing::exchange`] says; beyond, in proportion more rarely.
@@ -115,6 +115,8 @@
     sent: Time,
     /// It was asked again, through others too.
     again: bool,
+    /// Its machine has refused a connection since; when it is tried once more, and whether it has been.
+    refused: Option<(Time, bool)>,
 }
 
 /// The state of one member.
@@ -134,8 +136,6 @@
     /// Names of which there is news.
     news: News,
     bury: BTreeMap<String, Time>,
-    /// Whose machine has refused once, and when it is to be tried again.
-    refused: BTreeMap<String, (u64, Time)>,
     /// When anybody was last heard.
     heard: Time,
     last: Time,
@@ -171,7 +171,6 @@
             helping: BTreeMap::new(),
             news: News::default(),
             bury: BTreeMap::new(),
-            refused: BTreeMap::new(),
             heard: now,
             last: now,
             beat_at: now,
@@ -207,14 +206,14 @@
     pub fn next_due(&self) -> Time {
         let news = (!self.news.is_empty()).then_some(self.gossip_at);
         let probes = self.probes.values().map(|probe| self.probe_due(probe));
-        let refused = self.refused.values().map(|(_, at)| *at);
         let bury = self.bury.values().copied();
-        let all = probes.chain(refused).chain(bury).chain(news);
+        let all = probes.chain(bury).chain(news);
         all.chain([self.beat_at, self.exchange_at, self.again_at]).min().unwrap_or(self.beat_at)
     }
 
     fn probe_due(&self, probe: &Probe) -> Time {
-        probe.sent.after(if probe.again { self.timing.period } else { self.timing.period / 3 })
+        let due = probe.sent.after(if probe.again { self.timing.period } else { self.timing.period / 3 });
+        probe.refused.filter(|(_, tried)| !tried).map_or(due, |(at, _)| due.min(at))
     }
 
     // ---- Time ----
@@ -258,7 +257,6 @@
     fn stood_still(&mut self, now: Time, jump: Duration) {
         self.probes.clear();
         self.helping.clear();
-        self.refused.clear();
         self.table.stood_still(jump);
         self.bury.values_mut().for_each(|at| *at = at.after(jump));
         self.heard = self.heard.after(jump).min(now);
@@ -296,7 +294,7 @@
         let Some(seen) = self.table.get(name) else { return };
         let (start, to, hears) = (seen.claim.start, seen.claim.address, seen.link != Link::Relayed);
         let number = self.number();
-        let probe = Probe { name: name.to_owned(), start, sent: now, again: false };
+        let probe = Probe { name: name.to_owned(), start, sent: now, again: false, refused: None };
         self.probes.insert(number, probe);
         self.send(to, Kind::Ping { number, hears }, Some(name));
     }
@@ -321,6 +319,18 @@
                 self.probes.remove(&number);
                 continue;
             };
+            if let Some((at, tried)) = &mut probe.refused
+                && !*tried
+                && *at <= now
+            {
+                *tried = true;
+                let address = seen.claim.address;
+                self.orders.push(Order::Knock { name: name.clone(), start, address });
+                if self.probes.get(&number).is_some_and(|probe| self.probe_due(probe) > now) {
+                    continue;
+                }
+            }
+            let Some(probe) = self.probes.get_mut(&number) else { continue };
             if std::mem::replace(&mut probe.again, true) {
                 self.probes.remove(&number);
                 self.unheard(now, &name);
@@ -333,19 +343,6 @@
                 self.send(helper.address, Kind::Ask { number, target: name.clone() }, None);
             }
         }
-        let refused: Vec<String> =
-            self.refused.iter().filter(|(_, (_, at))| *at <= now).map(|(name, _)| name.clone()).collect();
-        for name in refused {
-            let Some((start, _)) = self.refused.get(&name).copied() else { continue };
-            // The second one's end is what tells; until then it is not tried a third time.
-            self.refused.insert(name.clone(), (start, now.after(self.timing.bury)));
-            if let Some(seen) = self.table.get(&name).filter(|seen| seen.claim.start == start) {
-                let address = seen.claim.address;
-                self.orders.push(Order::Knock { name, start, address });
-            } else {
-                self.refused.remove(&name);
-            }
-        }
     }
 
     /// A member answered neither this one nor a helper.
@@ -459,7 +456,6 @@
         let lost = self.table.get(&from.name).is_some_and(|seen| !seen.claim.standing.present());
         self.apply(now, &from);
         self.met(now, &from);
-        self.refused.remove(&from.name);
         for claim in &claims {
             self.learn(now, claim, lost);
         }
@@ -543,10 +539,16 @@
             return self.about_self(claim);
         }
         let believed = matches!(claim.standing, Standing::Silent | Standing::Dead);
+        let unknown = self.table.get(&claim.name).is_none();
         match whole && believed {
             true => self.apply(now, &claim.as_is(Standing::Suspect)),
             false => self.apply(now, claim),
         }
+        // Whoever told a whole table has told others of it too: guards against a fleet that starts at once, each member
+        // of which would pass the whole of it on.
+        if whole && unknown {
+            self.news.drop(&claim.name);
+        }
     }
 
     /// What is said of this one: it is there, whatever that says.
@@ -614,24 +616,21 @@
         }
     }
 
-    /// How an attempt to connect ended.
+    /// How an attempt to connect ended. Two refusals within one question that stays open prove an end.
     pub fn knocked(&mut self, now: Time, name: &str, start: u64, end: Knock) {
         let Some(seen) = self.table.get(name).filter(|seen| seen.claim.start == start) else { return };
         let moving = seen.claim.standing == Standing::Moving && now.since(seen.since) < MOVING;
         if end != Knock::Refused || moving || !seen.claim.standing.present() {
-            self.refused.remove(name);
             return;
         }
-        match self.refused.get(name) {
+        let dead = seen.claim.as_is(Standing::Dead);
+        // Guards against a firewall that refuses in its place: it has not answered meanwhile, itself or by a helper.
+        let open = self.probes.values_mut().find(|probe| probe.name == name && probe.start == start);
+        let Some(probe) = open else { return };
+        match probe.refused {
             // Guards against one that was about to listen again: twice, a moment apart.
-            Some((before, _)) if *before == start => {
-                self.refused.remove(name);
-                let claim = seen.claim.as_is(Standing::Dead);
-                self.apply(now, &claim);
-            }
-            _ => {
-                self.refused.insert(name.to_owned(), (start, now.after(KNOCK_AGAIN)));
-            }
+            None => probe.refused = Some((now.after(self.timing.period / KNOCK_AGAIN), false)),
+            Some(_) => self.apply(now, &dead),
         }
     }
 
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -121,6 +121,20 @@
     }
 }
 
+#[test]
+fn a_firewall_between_two_that_refuses_is_no_death() {
+    for seed in 1..4 {
+        let mut world = world(8, seed);
+        world.refusing = true;
+        world.cut(|id| id == 2, |id| id == 5);
+        world.cut(|id| id == 5, |id| id == 2);
+        world.pass(s(120));
+        // Both find the other refused within a moment, and others say in the same moment that it is there.
+        assert!(world.buried_alive().is_empty(), "seed {seed}: {:?}", world.buried_alive());
+        assert_eq!((world.sees(2, 5), world.sees(5, 2)), (Some(State::Cut), Some(State::Cut)), "seed {seed}");
+    }
+}
+
 #[test]
 fn one_that_is_cut_off_from_all_buries_nobody() {
     let mut world = world(9, 11);
