Say that the OpenSearch-style front takes no part in membership, in place of silence

Found on reading the change again: an operator's file with [membership] was taken without a word by a front that leaves it off (run.rs, opensearch). It is in the log now. A test of members is named after what it asserts: those that stand still may be buried for a while, and keep their shares; it is they who bury nobody.

--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -129,6 +129,9 @@
     in_runtime(async move {
         let hangups = signal(SignalKind::hangup())?;
         let listener = Rc::new(TcpListener::bind(file.listen).await?);
+        if operator.membership.is_some() {
+            log::warn!("membership stays off: this front does not take part in it");
+        }
         let places = places(&Allowed::read(file.sockets, file.memory_mb, 0, false))?;
         let clock = Clock::system();
         let (digest, longest) = (digest(&file.contracts), longest(&file.contracts));
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -29,7 +29,7 @@
 }
 
 #[test]
-fn one_that_stands_still_is_suspected_and_neither_buried_nor_burying() {
+fn those_that_stand_still_are_suspected_keep_their_shares_and_bury_nobody_when_they_wake() {
     let fleet = Fleet::start("still", 5);
     for id in [3, 4] {
         fleet.member(id).signal("-STOP");
