Linger when closing idle connections, and notice clients that leave behind unread bytes

Now the close lingers: shut down for writing, read on for 0.4 s (0.02 s where places are scarce), close. What is read then is dropped, and its client sees the end in place of an answer. - gone: once 128 kB had come ahead of an answer, or less where memory is scarce, nothing was read any more, and the close behind it went unnoticed: the query was sent on for nobody. Now it is read and dropped, and the connection ends behind its answer. - accept: at the end of the linger the loop returned with connections in the queue when 16 had passed in one turn; their requests were reset. Now the queue is emptied first. - parting: a new connection without a request yet was closed at the end; it now has 0.4 s more to say it. Tests (tests/listener.rs), each fails on the code before ('in vain: they are gone', 'in vain: it is read', a reset for the 17th of 60 in the queue) and passes now.

--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -79,8 +79,8 @@
     Source(hash.digest())
 }
 
-/// Accepts connections until the gate closes; whoever has connected by then is still served. It never waits for a place
-/// that nobody is about to leave, and takes its share of the time and no more while many come at once.
+/// Accepts connections until the gate closes; whoever has connected by then still gets an answer. It never waits for a
+/// place that nobody is about to leave, and takes its share of the time and no more while many come at once.
 pub async fn accept<F: Front + 'static>(listener: impl Accept, front: Rc<F>, gate: Rc<Gate>) {
     let mut turnstile = Turnstile::default();
     loop {
@@ -101,7 +101,15 @@
                 let accepted = tokio::select! {
                     biased;
                     accepted = listener.accept() => accepted,
-                    () = gate.shut() => return,
+                    () = gate.shut() => {
+                        // Guards those who wait in the queue: its close would reset them. Behind it the runtime has
+                        // looked at its sockets, and knows of all that have come by now.
+                        tokio::task::yield_now().await;
+                        match at_once(listener.accept()).await {
+                            Some(accepted) if !matches!(gate.stage(), Stage::Succeeded { .. }) => accepted,
+                            _ => return,
+                        }
+                    }
                 };
                 begun = gate.places().now();
                 accepted
@@ -126,9 +134,6 @@
             }
         }
         if let Some(pause) = turnstile.passed(begun, gate.places().now()) {
-            if !gate.stage().accepts() {
-                return;
-            }
             tokio::time::sleep(pause).await;
         }
     }
@@ -172,12 +177,13 @@
                 .await;
         }
         let (keep_alive, bodiless, body) = (request.keep_alive, request.method == "HEAD", request.body.len());
+        let mut lost = false;
         let response = tokio::select! {
             biased;
             response = front.respond(request) => response,
-            () = gone(&mut read, &mut buffer, &pass, body) => return,
+            () = gone(&mut read, &mut buffer, &pass, body, &mut lost) => return,
         };
-        let close = !keep_alive || pass.gate().stage().parts();
+        let close = !keep_alive || lost || pass.gate().stage().parts();
         let mut bytes = response.encode(close);
         if bodiless {
             bytes.truncate(bytes.len() - response.body.len());
@@ -253,7 +259,7 @@
                 }
             }
             // Guards a newcomer who reaches a drained process: it still gets the answer to its first request.
-            () = pass.gate().parting(),
+            () = parting(pass, answers),
                 if buffer.is_empty() && (answers > 0 || !pass.gate().stage().takes()) =>
             {
                 buffer.reserve(READ);
@@ -265,7 +271,9 @@
     }
 }
 
-/// Closes a connection on which nothing is open, unless a request has come meanwhile. True if it stays.
+/// Closes a connection on which nothing is open, unless a request has come meanwhile. True if it stays. The close lingers:
+/// what crosses it is read and dropped, and its client sees the end of the connection in place of an answer. Guards the
+/// answer before, which a reset would take with it.
 async fn leave(
     read: &mut (impl AsyncRead + Unpin),
     write: &mut (impl AsyncWrite + Unpin),
@@ -278,9 +286,7 @@
         pass.spared(count);
         return true;
     }
-    if write.shutdown().await.is_ok()
-        && let Some(Ok(1..)) = at_once(read.read_buf(buffer)).await
-    {
+    if write.shutdown().await.is_ok() && drain(read, last_time(pass.gate())).await {
         pass.crossed();
     }
     false
@@ -295,6 +301,15 @@
     }
 }
 
+/// Waits until an idle connection is to end. Guards a newcomer whose request is still on its way: an end without any answer
+/// tells its client nothing.
+async fn parting(pass: &Pass, answers: u64) {
+    pass.gate().parting().await;
+    if answers == 0 {
+        tokio::time::sleep(last_time(pass.gate())).await;
+    }
+}
+
 fn last_time(gate: &Gate) -> Duration {
     gate.scarcity().limit(LAST, LAST_TIGHT)
 }
@@ -312,13 +327,21 @@
     }
 }
 
-/// Returns when the client has closed its connection; what it sends ahead is kept for later.
-async fn gone(read: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut, pass: &Pass, body: usize) {
+/// Returns when the client has closed its connection. What it sends ahead is kept for later as far as there is room; past
+/// that it is `lost`, and the connection ends behind its answer. Guards against a client that leaves unnoticed behind
+/// bytes that nobody reads.
+async fn gone(
+    read: &mut (impl AsyncRead + Unpin),
+    buffer: &mut BytesMut,
+    pass: &Pass,
+    body: usize,
+    lost: &mut bool,
+) {
     loop {
         let most = MOST_AHEAD.min(pass.bytes.allowance().saturating_sub(body));
-        if buffer.len() + READ > most.max(READ) {
-            pass.bytes.room().await;
-            continue;
+        if *lost || buffer.len() + READ > most.max(READ) {
+            *lost = true;
+            buffer.clear();
         }
         buffer.reserve(READ);
         pass.bytes.set(buffer.capacity() + body);
@@ -328,17 +351,19 @@
     }
 }
 
-/// Reads on for a moment after the last response: closing with unread bytes would reset the connection and
-/// could take that response with it.
-pub(super) async fn drain(read: &mut (impl AsyncRead + Unpin), longest: Duration) {
-    let mut scrap = [0; READ];
+/// Reads on for a moment behind a shutdown, a lingering close: closing with unread bytes would reset the connection and
+/// could take the last response with it. Whether anything came.
+pub(super) async fn drain(read: &mut (impl AsyncRead + Unpin), longest: Duration) -> bool {
+    let (mut scrap, mut came) = ([0; READ], false);
     let rest = async {
         for _ in 0..MOST_AHEAD / READ {
             if !matches!(read.read(&mut scrap).await, Ok(1..)) {
                 return;
             }
+            came = true;
         }
     };
     // Either way the connection ends here.
     let _ = tokio::time::timeout(longest, rest).await;
+    came
 }
--- a/tests/listener.rs
+++ b/tests/listener.rs
@@ -338,3 +338,91 @@
         assert_eq!(house.gate.places().tally.borrow().crossed, 0);
     });
 }
+
+/// Waits for an event; guards against a test that hangs for ever.
+async fn event(what: &str, so: impl Fn() -> bool) {
+    let all = async {
+        while !so() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), all).await.unwrap_or_else(|_| panic!("in vain: {what}"));
+}
+
+#[test]
+fn a_client_that_leaves_behind_bytes_that_nobody_reads_is_noticed() {
+    // Guards a request that waits for its first attempt: its client sent more than is kept ahead, and left.
+    run(async {
+        let house = House::open(64, 0).await;
+        let firm = || house.gate.places().descriptors(|all| all.firm(Side::Clients));
+        let mut leaving = Vec::new();
+        for _ in 0..4 {
+            let mut client = house.client().await;
+            say(&mut client, "/held").await;
+            leaving.push(client);
+        }
+        event("four are held", || firm() == 4).await;
+        // All leave in one burst, each behind more than twice what may be sent ahead.
+        let burst = leaving.into_iter().map(|mut client| {
+            spawn_local(async move {
+                client.write_all(&vec![b'x'; 600 << 10]).await.expect("it is read");
+            })
+        });
+        for gone in burst.collect::<Vec<_>>() {
+            gone.await.expect("it ends");
+        }
+        event("they are gone", || house.gate.open() == 0).await;
+        // One that stays has its answer, and the end of its connection: what it sent ahead is no request any more.
+        let mut client = house.client().await;
+        say(&mut client, "/held").await;
+        event("it is held", || firm() == 1).await;
+        // More than the system holds on the way: most of it has been read when this returns.
+        client.write_all(&vec![b'x'; 24 << 20]).await.expect("it is read");
+        house.held.add_permits(1);
+        assert!(hear(&mut client, "/held").await.contains("Connection: close\r\n"));
+    });
+}
+
+#[test]
+fn a_request_that_crosses_the_close_of_an_idle_connection_is_read_and_not_answered() {
+    // Guards against a close over unread bytes: it resets the connection, and takes with it what has not arrived yet.
+    run(async {
+        let house = House::open(64, 0).await;
+        let mut client = house.client().await;
+        ask(&mut client, "/a").await;
+        house.gate.places().recall(Side::Clients);
+        let mut text = String::new();
+        client.read_to_string(&mut text).await.expect("it ends for writing first");
+        say(&mut client, "/b").await;
+        event("it is read", || house.gate.places().tally.borrow().crossed == 1).await;
+        client.read_to_string(&mut text).await.expect("no reset");
+        assert_eq!(text, "");
+        drop(client);
+        event("it is closed", || house.gate.open() == 0).await;
+        assert_eq!(house.gate.places().tally.borrow().spared, 0);
+    });
+}
+
+#[test]
+fn all_who_connected_before_the_door_closes_get_an_answer() {
+    // Guards those in the queue of a process that stood still: their connections are there, and so is the end.
+    run(async {
+        let house = House::open(256, 0).await;
+        house.gate.call(Call::Stop).expect("taken");
+        let come = |_| {
+            let mut client = std::net::TcpStream::connect(house.address).expect("connected");
+            std::io::Write::write_all(&mut client, b"GET /late HTTP/1.1\r\n\r\n").expect("written");
+            client
+        };
+        let clients: Vec<_> = (0..60).map(come).collect();
+        // The one thread stands still past the moment at which the door closes: both lie there at the same wake.
+        std::thread::sleep(clayshore::service::stage::LINGER + Duration::from_millis(50));
+        for client in clients {
+            client.set_nonblocking(true).expect("set");
+            let mut client = TcpStream::from_std(client).expect("a stream");
+            let text = tokio::time::timeout(Duration::from_secs(20), hear(&mut client, "/late")).await;
+            assert!(text.expect("an answer").contains("Connection: close\r\n"));
+        }
+        house.accepting.await.expect("accepting ends");
+    });
+}
