Hear signals before the configuration is read, and let in all who wait before the end

Found by review. program/run.rs installed the handler of SIGHUP after the configuration was read, those of SIGTERM and SIGINT only when serving began: a SIGHUP to a process that has just started ended it, which is a crash. Now all three are heard first.

--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -32,7 +32,8 @@
         };
         if !self.gate.stage().takes() {
             self.broker.core(|core| core.refuse_stopping(ask.class, ask.tenant));
-            return platform::refusal(Some(STOPPING_PAUSE));
+            let longest = self.broker.core(|core| core.contracts().settings.longest_pause);
+            return platform::refusal(longest.map(|longest| longest.min(STOPPING_PAUSE)));
         }
         if self.broker.core(|core| core.has(&ask.label)) {
             // Guards the parts of the query that has this id: the two could not be told apart at the workers.
--- a/src/main.rs
+++ b/src/main.rs
@@ -89,7 +89,9 @@
     #[error(transparent)]
     Configuration(#[from] Error),
     #[error(transparent)]
-    Serving(#[from] std::io::Error),
+    Serving(#[from] run::Failure),
+    #[error(transparent)]
+    System(#[from] std::io::Error),
     #[error("{0} lines do not count")]
     Damaged(u64),
 }
@@ -102,7 +104,11 @@
         Err(failure) => {
             // Not by the log: a configuration's fault is shown over several lines, with the place.
             eprintln!("ERROR {failure}");
-            ExitCode::from(if matches!(failure, Failure::Configuration(_)) { 2 } else { 1 })
+            let configuration = matches!(
+                failure,
+                Failure::Configuration(_) | Failure::Serving(run::Failure::Configuration(_))
+            );
+            ExitCode::from(if configuration { 2 } else { 1 })
         }
     }
 }
@@ -151,8 +157,8 @@
     if let Some(path) = file {
         let seed = fastrand::u64(..);
         let read = move || FrontFile::read(&path, seed);
-        return Ok(run::opensearch(read()?, seed, operator, read)?);
+        return Ok(run::opensearch(seed, operator, read)?);
     }
     let read = || Config::from_platform(|name| std::env::var(name).ok());
-    Ok(run::platform(read()?, operator, read)?)
+    Ok(run::platform(operator, read)?)
 }
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -31,7 +31,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch::Sender;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 
 /// Descriptors that an operated process opens later than it reads its limits: the clients' listener, the place where a
 /// successor finds it, and the connection to it.
@@ -43,14 +43,48 @@
 /// Time past the longest deadline after which the end no longer waits for a client to read its answer.
 const SLACK: Duration = Duration::from_millis(300);
 
+/// Why a front does not serve, or ended.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// Its configuration cannot be used.
+    #[error(transparent)]
+    Configuration(#[from] Error),
+    /// The system refused what it needs.
+    #[error(transparent)]
+    System(#[from] io::Error),
+}
+
+/// The signals that a front obeys, from before it reads its configuration. Guards a process that has just started: until
+/// they are heard, SIGHUP ends it like a crash, and SIGTERM leaves those who connected by then without an answer.
+fn signals() -> io::Result<(Signal, Stop)> {
+    let (terminate, interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    Ok((signal(SignalKind::hangup())?, Stop { terminate, interrupt }))
+}
+
+/// SIGTERM and SIGINT.
+struct Stop {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Stop {
+    /// Returns once either has come.
+    async fn told(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
 /// Serves the platform until SIGTERM. SIGHUP has the configuration read again.
 pub fn platform(
-    config: Config,
     operator: Operator,
     read: impl Fn() -> Result<Config, Error> + 'static,
-) -> io::Result<()> {
+) -> Result<(), Failure> {
     in_runtime(async move {
-        let hangups = signal(SignalKind::hangup())?;
+        let (hangup, mut stop) = signals()?;
+        let config = read()?;
         let operators = match config.operator {
             Some(address) => Some(TcpListener::bind(address).await?),
             None => None,
@@ -93,8 +127,13 @@
         }
         let listener = match (alone, &upgrade) {
             (Some(listener), _) => listener,
-            (None, Some(upgrade)) => upgrade.begin().await?,
-            (None, None) => return Err(io::ErrorKind::NotFound.into()),
+            (None, Some(upgrade)) => tokio::select! {
+                biased;
+                // Nobody has been let in yet: there is nothing to see out.
+                () = stop.told() => return Ok(()),
+                begun = upgrade.begin() => begun?,
+            },
+            (None, None) => return Err(io::Error::from(io::ErrorKind::NotFound).into()),
         };
         if let Some(members) = members.clone() {
             spawn_local(members.take_part());
@@ -107,27 +146,27 @@
         // A whole list costs an asked discovery twice what its changes do, when the whole fleet starts.
         let held = config.known.filter(|_| config.ask_in.is_some()).map(|known| known.revision);
         spawn_local(async move { watch::follow(&*dial, address, held, &watcher, &watched, backoff).await });
-        spawn_local(reload(hangups, places, recording.clone(), move || {
+        spawn_local(reload(hangup, places, recording.clone(), move || {
             // Where discovery is takes effect now, all else at the next start.
             let config = read()?;
             let news = format!("discovery at {}", config.discovery);
             discovery.send_replace(config.discovery);
             Ok(news)
         }));
-        let beside = Beside { recording, upgrade, members };
-        serve(listener, &config.name, broker, workers, front, gate, beside).await
+        let beside = Beside { stop, recording, upgrade, members };
+        Ok(serve(listener, &config.name, broker, workers, front, gate, beside).await?)
     })
 }
 
 /// Serves the OpenSearch-style form until SIGTERM. SIGHUP has the file read again.
 pub fn opensearch(
-    file: FrontFile,
     seed: u64,
     operator: Operator,
     read: impl Fn() -> Result<FrontFile, Error> + 'static,
-) -> io::Result<()> {
+) -> Result<(), Failure> {
     in_runtime(async move {
-        let hangups = signal(SignalKind::hangup())?;
+        let (hangup, stop) = signals()?;
+        let file = read()?;
         let listener = Rc::new(TcpListener::bind(file.listen).await?);
         if operator.membership.is_some() {
             log::warn!("membership stays off: this front does not take part in it");
@@ -141,7 +180,7 @@
         let recording = Recording::begin(operator.records.as_ref(), "opensearch", &start, &digest, &broker)?;
         broker.learn(&file.servers, true);
         let learner = broker.clone();
-        spawn_local(reload(hangups, places.clone(), recording.clone(), move || {
+        spawn_local(reload(hangup, places.clone(), recording.clone(), move || {
             // Which index servers there are takes effect now, all else at the next start.
             let servers = read()?.servers;
             learner.learn(&servers, false);
@@ -151,18 +190,19 @@
         spawn_local(servers.clone().give_way());
         let gate = Gate::new(places);
         let front = OpenSearch::new(broker.clone(), clock, gate.clone(), file.names, start, seed);
-        let beside = Beside { recording, upgrade: None, members: None };
-        serve(listener, "opensearch", broker, servers, front, gate, beside).await
+        let beside = Beside { stop, recording, upgrade: None, members: None };
+        Ok(serve(listener, "opensearch", broker, servers, front, gate, beside).await?)
     })
 }
 
-fn in_runtime(main: impl Future<Output = io::Result<()>>) -> io::Result<()> {
+fn in_runtime(main: impl Future<Output = Result<(), Failure>>) -> Result<(), Failure> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, main)
 }
 
 /// What goes on beside serving.
 struct Beside {
+    stop: Stop,
     recording: Recording,
     upgrade: Option<Rc<Upgrade>>,
     members: Option<Rc<Members>>,
@@ -176,7 +216,7 @@
     carrier: impl Carrier + 'static,
     front: impl Front + 'static,
     gate: Rc<Gate>,
-    Beside { recording, upgrade, members }: Beside,
+    Beside { mut stop, recording, upgrade, members }: Beside,
 ) -> io::Result<()> {
     let longest = broker.core(|core| longest(core.contracts()));
     let at = listener.local_addr()?;
@@ -188,7 +228,7 @@
     spawn_local(async move { aged.age().await });
     let kept = spawn_local(recording.clone().keep(broker.clone(), gate.clone()));
     let (serving, door, starting) = (format!("{name} serving on {at}"), gate.clone(), upgrade.clone());
-    spawn_local(async move {
+    let accepting = spawn_local(async move {
         if let Some(upgrade) = starting {
             upgrade.ready().await;
             upgrade.serving();
@@ -196,13 +236,13 @@
         log::info!("{serving}");
         listener::accept(listener, Rc::new(front), door).await;
     });
-    stopped().await?;
-    let stop = upgrade.as_ref().map_or(Call::Stop, |upgrade| upgrade.stop());
+    stop.told().await;
+    let call = upgrade.as_ref().map_or(Call::Stop, |upgrade| upgrade.stop());
     if let Some(members) = members {
         // The other process of an upgrade takes the address and the name over.
-        members.leave(stop == Call::Succeed);
+        members.leave(call == Call::Succeed);
     }
-    let answered = wind_up(&broker, &gate, stop, longest).await;
+    let answered = wind_up(&broker, &gate, call, longest, accepting).await;
     kept.abort();
     recording.end(&broker, &gate, answered);
     if let Some(upgrade) = upgrade {
@@ -252,24 +292,25 @@
     }
 }
 
-/// Returns on SIGTERM or SIGINT.
-async fn stopped() -> io::Result<()> {
-    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
-    Ok(())
-}
-
 /// Sees out those who still come, takes nothing new, and returns once all that was taken is answered, or `false` once
 /// its time is up.
-async fn wind_up(broker: &Broker, gate: &Gate, stop: Call, longest: Duration) -> bool {
+async fn wind_up(
+    broker: &Broker,
+    gate: &Gate,
+    stop: Call,
+    longest: Duration,
+    accepting: JoinHandle<()>,
+) -> bool {
     log::info!("stopping: {} connections are open", gate.open());
     // It cannot be refused: nothing stops twice, and a second stop is the first.
     let _ = gate.call(stop);
     gate.closing().await;
+    log::info!("stopping: nothing new is taken");
     let all_answered = async {
+        // Guards against an end between two who wait at the door: whoever has connected has to be let in first.
+        if let Err(error) = accepting.await {
+            log::error!("accepting: {error}");
+        }
         // A search that runs once goes on without its client, for the outcome is to be known.
         while gate.open() > 0 || broker.core(|core| core.open()) > 0 {
             tokio::time::sleep(LOOK).await;
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -16,7 +16,7 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 
 /// Waits until this is so.
-pub fn until(what: &str, so: impl Fn() -> bool) {
+pub fn until(what: &str, mut so: impl FnMut() -> bool) {
     let since = Instant::now();
     while !so() {
         assert!(since.elapsed() < PATIENCE, "in vain: {what}");
@@ -252,8 +252,18 @@
     ) -> Gatherer {
         let file = folder.0.join(format!("config-{}.json", fastrand::u64(..)));
         std::fs::write(&file, config.to_string()).expect("written");
+        Gatherer::spawn(&file, config, scratch, operator)
+    }
+
+    /// Starts it on a file that says what `config` does, or will.
+    pub fn spawn(
+        file: &Path,
+        config: &serde_json::Value,
+        scratch: &Folder,
+        operator: Option<&str>,
+    ) -> Gatherer {
         let mut command = Command::new(env!("CARGO_BIN_EXE_clayshore"));
-        command.env_clear().env("LB_CONFIG", &file).env("TMPDIR", &scratch.0).stderr(Stdio::piped());
+        command.env_clear().env("LB_CONFIG", file).env("TMPDIR", &scratch.0).stderr(Stdio::piped());
         if let Some(text) = operator {
             let file = file.with_extension("toml");
             std::fs::write(&file, text).expect("written");
@@ -272,7 +282,7 @@
             keep.1.notify_all();
         });
         let clients = config["listen"].as_str().expect("an address").to_owned();
-        let operators = config["operator"].as_str().expect("an address").to_owned();
+        let operators = config["operator"].as_str().unwrap_or_default().to_owned();
         Gatherer { child, clients, operators, log }
     }
 
@@ -293,6 +303,13 @@
         assert!(kill.success());
     }
 
+    /// Has it stand still, and waits until it does: whatever comes from now on lies there at the same wake.
+    pub fn stand_still(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        until("it stands still", || std::fs::read_to_string(&stat).expect("its state").contains(") T "));
+    }
+
     /// Waits for its end; whether that was a good one.
     pub fn ended(&mut self) -> bool {
         self.child.wait().expect("it ends").success()
