Write no repeat past its window, and no rest of a frame that nobody waits for

Found by review. transport/workers.rs had no notion of a part's window: the module sends a repeat of a by_key part inside it, but the part then waited for a place, for a connection that came up late (up to connect-timeout), or in a full one, and was written whenever that was over. With windows of a few hundred ms that runs it twice. And a frame of which some bytes were written when its client left stuck in a full connection, and its rest followed whenever the worker read on. Now routing/core.rs knows when the first attempt of a part that may have run was sent (one that is proved unrun counts no more) and hands on what is left of the window; the line ends with such a frame unwritten, which proves that it never ran. A half-written frame that nobody waits for has 0.1 s to get through, then its connection ends.

--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -73,6 +73,9 @@
     pub timeout: Duration,
     /// It may not run a second time: what spoils the answers of others is not to spoil its own.
     pub once: bool,
+    /// For so long the last byte of its frame may be written; `None` where any time will do. It is a further attempt of
+    /// a part whose repeats are dropped only for a while after the first that may have run.
+    pub window: Option<Duration>,
 }
 
 /// How an attempt ended, as a transport reports it.
@@ -183,6 +186,8 @@
     query: RequestId,
     shard: ShardId,
     attempts: u32,
+    /// When those of its attempts were sent that may have run, or may yet.
+    risks: BTreeMap<AttemptNo, Time>,
     value: Option<Bytes>,
 }
 
@@ -312,7 +317,10 @@
         for AskPart { shard, weight, hint, key } in ask.parts {
             let part = RequestId(self.id());
             self.inbox.push(Event::Part(NewPart { id: part, key, hint, job, shard, weight }));
-            self.parts.insert(part, HeldPart { query: id, shard, attempts: 0, value: None });
+            self.parts.insert(
+                part,
+                HeldPart { query: id, shard, attempts: 0, risks: BTreeMap::new(), value: None },
+            );
             held.parts.push(part);
         }
         self.queries.insert(id, held);
@@ -343,8 +351,13 @@
         }
         let held = self.parts.get_mut(&ticket.part);
         let over = outcome == Outcome::Done || held.is_none();
-        if let Some(part) = held.filter(|_| outcome == Outcome::Done) {
-            part.value.get_or_insert(value);
+        if let Some(part) = held {
+            if outcome.proves_unrun() {
+                part.risks.remove(&ticket.attempt);
+            }
+            if outcome == Outcome::Done {
+                part.value.get_or_insert(value);
+            }
         }
         let elapsed = now.since(flight.sent);
         let (id, attempt, leaf) = (ticket.part, ticket.attempt, flight.leaf);
@@ -648,8 +661,14 @@
         self.counters.resent += u64::from(ticket.attempt.0 > 0);
         let timeout = timeout.min(query.valid_until.since(now));
         self.flights.insert(ticket, Flight { leaf, sent: now, deadline: now.after(timeout) });
+        // Guards against a repeat that waits for its connection until servers no longer drop it.
+        let class = self.contracts.settings.classes.get(query.seen.class);
+        let window = class.filter(|class| class.effect == Effect::ByKey).map(|class| class.window);
+        let first = part.risks.values().min();
+        let window = window.zip(first).map(|(window, first)| window.saturating_sub(now.since(*first)));
+        part.risks.insert(ticket.attempt, now);
         let (label, text) = (query.label.clone(), query.text.clone());
-        let dispatch = Dispatch { ticket, label, shard: part.shard, text, timeout, once: query.once };
+        let dispatch = Dispatch { ticket, label, shard: part.shard, text, timeout, once: query.once, window };
         match calls.iter_mut().find(|(to, _)| *to == leaf) {
             Some((_, parts)) => parts.push(dispatch),
             None => calls.push((leaf, vec![dispatch])),
--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -23,6 +23,8 @@
 const IDLE_SHARE: f64 = 0.6;
 /// Share of the shortest aim that is silence, where a written call waits: 250 ms of 2.5 s.
 const SILENT: f64 = 0.1;
+/// For so long a frame of which a part is written may stick where nobody waits for any of its parts.
+const STUCK: Duration = Duration::from_millis(100);
 /// Ids answered or given up that a line remembers: what is heard of them again harms nothing.
 const MOST_PAST: usize = 256;
 /// Reading takes at most so much at once.
@@ -73,6 +75,8 @@
     begun: bool,
     /// The parts that it carries; none for giving one up.
     ids: Vec<String>,
+    /// When it is no longer to be written: a window has ended, or nobody waits for what is half written.
+    until: Option<Instant>,
 }
 
 struct Call {
@@ -86,10 +90,16 @@
     Closed(String),
     /// The worker sent what is no answer: nothing further on the connection can be trusted.
     Spoilt(String),
-    /// There was no place for it: nothing was tried.
+    /// There was no place for it, or no time left: nothing was tried.
     Unopened(String),
 }
 
+impl Cut {
+    fn overdue() -> Cut {
+        Cut::Unopened("it could not be written in time".to_owned())
+    }
+}
+
 impl Line {
     fn new(address: &str) -> Line {
         Line {
@@ -129,13 +139,14 @@
     fn push(&self, parts: &[Dispatch]) {
         let mut calls = self.calls.borrow_mut();
         let mut ids = Vec::with_capacity(parts.len());
+        let until = parts.iter().filter_map(|part| part.window).min().map(|window| Instant::now() + window);
         for part in parts {
             let id = frame::part_id(&part.label, part.shard.0);
             calls.insert(id.clone(), Call { ticket: part.ticket, written: None });
             ids.push(id);
         }
         drop(calls);
-        self.frames.borrow_mut().push_back(Frame { rest: frame::call(parts), begun: false, ids });
+        self.frames.borrow_mut().push_back(Frame { rest: frame::call(parts), begun: false, ids, until });
         self.hold();
         self.news.notify_one();
     }
@@ -145,6 +156,11 @@
         self.frames.borrow().front().map(|frame| frame.rest.clone())
     }
 
+    /// When what is to be written next no longer is.
+    fn until(&self) -> Option<Instant> {
+        self.frames.borrow().front().and_then(|frame| frame.until)
+    }
+
     /// Books that so many bytes of the front frame are written; how many parts have been written whole by that.
     fn wrote(&self, count: usize) -> usize {
         let mut frames = self.frames.borrow_mut();
@@ -180,8 +196,16 @@
         let before = frames.len();
         frames.retain(|frame| !gone(frame));
         if frames.len() == before {
+            // Guards against a part that runs long after its client has left: what is written of its frame sticks in a
+            // full connection, and the rest would follow whenever the worker reads on.
+            if let Some(frame) = frames.front_mut().filter(|frame| {
+                frame.begun && frame.ids.contains(&id) && !frame.ids.iter().any(|id| calls.contains_key(id))
+            }) {
+                let stuck = Instant::now() + STUCK;
+                frame.until = Some(frame.until.map_or(stuck, |until| until.min(stuck)));
+            }
             self.remember(id.clone());
-            frames.push_back(Frame { rest: frame::give_up(&id), begun: false, ids: Vec::new() });
+            frames.push_back(Frame { rest: frame::give_up(&id), begun: false, ids: Vec::new(), until: None });
         }
         // Guards against machines that vanished: their connections stay open, and swallow what is written.
         let written = call.and_then(|call| call.written);
@@ -304,7 +328,14 @@
 
     /// The life of one line.
     async fn run(self, leaf: LeafId, line: Rc<Line>, left: Duration) {
-        let why = match self.connect(leaf, &line, left).await {
+        let connected = self.connect(leaf, &line, left);
+        let connected = match line.until() {
+            Some(until) => {
+                tokio::time::timeout_at(until, connected).await.unwrap_or_else(|_| Err(Cut::overdue()))
+            }
+            None => connected.await,
+        };
+        let why = match connected {
             Ok(Some(stream)) => self.serve(stream, &line).await,
             Ok(None) => Cut::Closed("no longer needed".to_owned()),
             Err(cut) => cut,
@@ -347,7 +378,10 @@
                 return Cut::Closed("retired".to_owned());
             }
             line.hold();
-            let front = line.front();
+            let (front, until) = (line.front(), line.until());
+            if until.is_some_and(|until| until <= Instant::now()) {
+                return Cut::overdue();
+            }
             // Guards against answers that never end: the rest of a frame may take as long as a connection may.
             let rest = begun.unwrap_or(used) + self.0.limits.connect_timeout;
             buffer.reserve(READ.saturating_sub(buffer.len()).max(1024));
@@ -378,6 +412,9 @@
                     Err(error) => return Cut::Closed(error.to_string()),
                 },
                 () = line.news.notified() => {}
+                () = tokio::time::sleep_until(until.unwrap_or(used)), if until.is_some() => {
+                    return Cut::overdue();
+                }
                 () = tokio::time::sleep_until(rest), if begun.is_some() => {
                     return Cut::Spoilt("a frame that does not end".to_owned());
                 }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -1,4 +1,4 @@
-//! The scenario language: `send`, `expect`, `close`, `wait`, a line each, played on pipes under a clock that stands
+//! The scenario language: `send`, `expect`, `close`, `open`, `wait`, a line each, played on pipes under a clock that stands
 //! still until all is quiet. The transcript tells everything that each party received, and when.
 
 use bytes::{BufMut, BytesMut};
@@ -39,6 +39,8 @@
     Open,
     Closed,
     Silent,
+    /// It comes up so much later.
+    Late(Duration),
 }
 
 #[derive(Clone, Copy)]
@@ -142,6 +144,7 @@
             match port {
                 Port::Closed => return Err(io::ErrorKind::ConnectionRefused.into()),
                 Port::Silent => std::future::pending().await,
+                Port::Late(late) => tokio::time::sleep(late).await,
                 Port::Open => {}
             }
             let (near, far) = tokio::io::duplex(PIPE);
@@ -243,6 +246,7 @@
             "wait" => tokio::time::sleep(Duration::from_millis(who.parse().expect("milliseconds"))).await,
             "expect" => play.expect(who, what, number + 2).await,
             "close" => play.close(who, what),
+            "open" => play.open(who, what),
             "send" => play.send(who, what, &front),
             other => panic!("line {}: unknown verb {other:?}", number + 2),
         }
@@ -296,6 +300,13 @@
         }
     }
 
+    /// Its port takes connections, from so many milliseconds after each is asked for.
+    fn open(&mut self, who: &str, what: &str) {
+        let late = what.parse().map(Duration::from_millis);
+        let mut parties = self.pipes.0.borrow_mut();
+        parties.get_mut(who).expect("a party").port = late.map_or(Port::Open, Port::Late);
+    }
+
     fn send<F: Front + 'static>(&mut self, who: &str, what: &str, front: &Rc<F>) {
         if who == "discovery" {
             let (status, name) = what.split_once(' ').expect("a status and a worker");
@@ -344,6 +355,7 @@
                 bytes.put_slice(what.replace('|', "\n").as_bytes());
                 bytes.to_vec()
             }
+            Form::Requests if what.starts_with("raw ") => what[4..].replace("\\r\\n", "\r\n").into_bytes(),
             Form::Requests => {
                 let (status, body) = what.split_once(' ').expect("a status and a body");
                 http::Response::json(status.parse().expect("a status"), body.to_owned())
--- a/tests/workers.rs
+++ b/tests/workers.rs
@@ -8,6 +8,7 @@
 use clayshore::transport::places::{Place, Places};
 use clayshore::transport::stream::{Dial, Dialling, Stream};
 use clayshore::transport::workers::Workers;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
@@ -53,7 +54,25 @@
     }
 }
 
+/// Connections that hold a few bytes, to workers that do not read; their ends are kept here.
+#[derive(Default)]
+struct Stuck(RefCell<Vec<DuplexStream>>);
+
+impl Dial for Stuck {
+    fn dial<'a>(&'a self, _address: &'a str) -> Dialling<'a> {
+        Box::pin(async move {
+            let (near, far) = tokio::io::duplex(16);
+            self.0.borrow_mut().push(far);
+            Ok(Box::new(near) as Box<dyn Stream>)
+        })
+    }
+}
+
 fn run<F: Future<Output = ()>>(time: u64, main: impl FnOnce(Broker, Rc<Places>) -> F) {
+    run_on(Rc::new(Answering(Duration::from_millis(time))), main);
+}
+
+fn run_on<F: Future<Output = ()>>(dial: Rc<dyn Dial>, main: impl FnOnce(Broker, Rc<Places>) -> F) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), async {
         let mut json: serde_json::Value =
@@ -64,7 +83,6 @@
         let places = Places::new(Plan::new(64, 16, 0).expect("enough"), 1 << 20);
         let broker = Broker::new(Core::new(config.contracts), Clock::at(Time(1 << 60)));
         broker.learn(&config.known.expect("a list"), true);
-        let dial = Rc::new(Answering(Duration::from_millis(time)));
         let workers = Workers::new(broker.clone(), dial, places.clone());
         spawn_local(workers.clone().give_way());
         let driver = broker.clone();
@@ -152,3 +170,33 @@
         assert!(places.tally.borrow().most_in_all <= usable);
     });
 }
+
+/// What comes on a connection whose worker reads on only now, to its end.
+async fn rest(mut far: DuplexStream) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    far.read_to_end(&mut bytes).await.expect("readable");
+    bytes
+}
+
+#[test]
+fn a_part_whose_frame_is_half_written_as_its_client_leaves_never_runs() {
+    // Guards against a frame that sticks in a full connection and runs whenever the worker reads on: its client is gone.
+    let stuck = Rc::new(Stuck::default());
+    run_on(stuck.clone(), |broker, _| async move {
+        for class in ["search", "seal", "stamp"] {
+            let asked = broker.clone();
+            let client = spawn_local(async move { asked.ask(ask(class, class, 1, &asked)).await });
+            while stuck.0.borrow().is_empty() {
+                tokio::task::yield_now().await;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            client.abort();
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            let far = stuck.0.borrow_mut().pop().expect("a connection");
+            let bytes = rest(far).await;
+            let length = u32::from_le_bytes(*bytes.first_chunk::<4>().expect("a length")) as usize;
+            assert!(bytes.len() < 4 + length, "{class}: the frame of {length} bytes came whole");
+            assert_eq!(broker.core(|core| core.counters.written), 0);
+        }
+    });
+}
