Ask a pushed discovery again inside the grace for drains, however often it failed

Found by review. Where lists are pushed, what the agent has counts as told at once, and nothing new may go to who drains 250 ms later. limits/backoff.rs doubled its pauses there too, to 0.8 s, by lot: an agent back from an outage, or a watch reset before its first answer, could be asked only after the grace. A connection to the agent has 0.5 s to come up, in place of 1 s.

--- a/src/limits/backoff.rs
+++ b/src/limits/backoff.rs
@@ -13,6 +13,8 @@
 const CARE: f64 = 0.8;
 /// How many calls for changes a call for the whole list costs the service, at least.
 const CHEAPER: u32 = 2;
+/// Part of the grace after news that a pause takes at most, where calls cost nothing: the answer has to come inside it.
+const PAUSE_SHARE: u32 = 5;
 /// Most doublings of a pause.
 const DOUBLINGS: u32 = 3;
 /// The shortest and the longest time that one call may wait for news.
@@ -25,21 +27,25 @@
     callers: u32,
     ask_in: Duration,
     failures: u32,
+    /// The longest pause of one whose calls cost the service nothing.
+    free: Option<Duration>,
 }
 
 impl Backoff {
     /// For one of so many callers, who each have a seed of their own. Who has not asked for `ask_in`, or for four
     /// times as long after a failed call, is held to know what it would have been told.
     pub fn new(seed: u64, callers: u32, ask_in: Duration) -> Backoff {
-        Backoff { random: fastrand::Rng::with_seed(seed), callers: callers.max(1), ask_in, failures: 0 }
+        let random = fastrand::Rng::with_seed(seed);
+        Backoff { random, callers: callers.max(1), ask_in, failures: 0, free: None }
     }
-    /// For one whose calls cost the service nothing: it is told by itself, and an agent beside the caller answers.
-    pub fn pushed(seed: u64) -> Backoff {
-        Backoff::new(seed, 1, Duration::ZERO)
+    /// For one whose calls cost the service nothing: it is told by itself, and an agent beside the caller answers. What the
+    /// agent has counts as told at once, and `grace` later nothing may go to who drains: pauses leave most of that.
+    pub fn pushed(seed: u64, grace: Duration) -> Backoff {
+        Backoff { free: Some((grace / PAUSE_SHARE).min(SHORT)), ..Backoff::new(seed, 1, Duration::ZERO) }
     }
     /// So many callers there are now. Who calls at no cost is alone, however many others do the same.
     pub fn among(&mut self, callers: u32) {
-        if !self.ask_in.is_zero() {
+        if self.free.is_none() {
             self.callers = callers.max(1);
         }
     }
@@ -54,6 +60,9 @@
     /// How long to wait before the next call, after one that failed; where the service is overbooked, so long that
     /// all callers together stay under what it bears.
     pub fn pause(&mut self, overbooked: bool) -> Duration {
+        if let Some(longest) = self.free {
+            return longest.mul_f64(self.random.f64());
+        }
         let first = if overbooked { SHORT + self.round() } else { SHORT };
         let most =
             (first * (1 << self.failures.min(DOUBLINGS))).min((self.ask_in * 4).mul_f64(CARE).max(LONGEST));
--- a/src/program/opensearch_file.rs
+++ b/src/program/opensearch_file.rs
@@ -272,6 +272,8 @@
                 connect_timeout: Duration::from_millis(self.limits.connect_timeout_ms),
                 conn_idle: Duration::from_millis(self.limits.idle_ms),
                 multiplex: searches_per_server,
+                // The file is its list: no grace is stated, and nothing waits for one.
+                drain_grace: Duration::ZERO,
                 may_tell: true,
             },
         };
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -102,7 +102,7 @@
         let (seed, roots) = (config.contracts.settings.seed, config.contracts.settings.roots);
         let backoff = match config.ask_in {
             Some(ask_in) => Backoff::new(seed, roots, ask_in),
-            None => Backoff::pushed(seed),
+            None => Backoff::pushed(seed, config.contracts.limits.drain_grace),
         };
         let broker = Broker::new(Core::new(config.contracts), clock);
         let start = format!("{:x}-{:x}", clock.now().0, std::process::id());
--- a/src/program/settings.rs
+++ b/src/program/settings.rs
@@ -10,8 +10,10 @@
 
 /// Queries and parts that may be open where no setting says.
 const MAX_OPEN: u32 = 10_000;
-/// Time for a connection to come up, idle time, and parts on a connection where no setting says.
+/// Time for a connection to come up, idle time, parts on a connection, and time to stop after a drain is told, where no
+/// setting says.
 const CONNECT: Duration = Duration::from_millis(250);
+const DRAIN_GRACE: Duration = Duration::from_millis(250);
 const IDLE: Duration = Duration::from_secs(15);
 const MULTIPLEX: u32 = 32;
 
@@ -142,6 +144,7 @@
                     0 => MULTIPLEX as usize,
                     most => most as usize,
                 },
+                drain_grace: self.span("rules.drain-grace")?.unwrap_or(DRAIN_GRACE),
                 may_tell: self.text("allowed.may-tell").is_none() || self.flag("allowed.may-tell")?,
             },
         })
--- a/src/routing/contracts.rs
+++ b/src/routing/contracts.rs
@@ -15,6 +15,8 @@
     pub conn_idle: Duration,
     /// Parts that one connection carries at once.
     pub multiplex: usize,
+    /// Nothing new goes to a server so long after it is told of as draining or gone.
+    pub drain_grace: Duration,
     /// Gatherers may talk with each other.
     pub may_tell: bool,
 }
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -11,8 +11,12 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// How long past that an answer may take, and how long a connection may take to come up.
+/// How long past its wait an answer may take.
 const SLACK: Duration = Duration::from_secs(1);
+/// How long an answer may take to a call that does not wait: many ask discovery at once, and it answers in turn.
+const ANSWER: Duration = Duration::from_secs(4);
+/// How long a connection may take to come up.
+const CONNECT: Duration = Duration::from_millis(500);
 
 /// Tells the broker whatever discovery says, for as long as the process lives. Serving never waits for it. `held` is the
 /// revision of the list that the broker has already, if the first call is to ask for what is newer alone.
@@ -67,7 +71,7 @@
     backoff: &mut Backoff,
 ) -> (String, bool) {
     let wait = backoff.wait();
-    let mut stream = match dial_within(dial, address, SLACK).await {
+    let mut stream = match dial_within(dial, address, CONNECT).await {
         Ok(stream) => stream,
         Err(error) => return (format!("cannot connect: {error}"), false),
     };
@@ -76,7 +80,10 @@
         let watch = revision.map(|revision| (revision, wait.as_millis() as u64));
         let request = http::request("GET", &discovery::path(watch), address, None);
         let exchange = client::exchange(&mut *stream, &mut buffer, &request, 4 * http::MOST_BODY);
-        let response = match tokio::time::timeout(wait + SLACK, exchange).await {
+        // Guards against a watch that has fallen silent: what it misses counts as told 2 s after its wait is over, and 6 s
+        // after a call that does not wait.
+        let longest = if watch.is_some() { wait + SLACK } else { ANSWER };
+        let response = match tokio::time::timeout(longest, exchange).await {
             Ok(Ok(response)) if response.status == 200 => response,
             Ok(Ok(response)) => return (format!("status {}", response.status), true),
             Ok(Err(error)) => return (error.to_string(), false),
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -187,7 +187,7 @@
                     let (dial, watcher, address) = (pipes.clone(), broker.clone(), agent.subscribe());
                     let (held, backoff) = match first.contains("asking") {
                         true => (Some(known.revision), Backoff::new(1, 48, Duration::from_secs(10))),
-                        false => (None, Backoff::pushed(1)),
+                        false => (None, Backoff::pushed(1, Duration::from_millis(250))),
                     };
                     spawn_local(async move {
                         watch::follow(&dial, address, held, &watcher, &places, backoff).await
