--- /dev/null
+++ b/tests/known_red.rs
@@ -0,0 +1,40 @@
+//! The list of tests that are known to fail: what is no such list passes nothing over.
+
+use std::process::{Command, Output};
+
+fn check(text: Option<&str>) -> Output {
+    let file = std::env::temp_dir().join(format!("clayshore-known-red-{}.txt", std::process::id()));
+    match text {
+        Some(text) => std::fs::write(&file, text).expect("written"),
+        None => drop(std::fs::remove_file(&file)),
+    }
+    let script = concat!(env!("CARGO_MANIFEST_DIR"), "/.ci/known-red");
+    let said = Command::new(script).arg(&file).output().expect("it runs");
+    drop(std::fs::remove_file(&file));
+    said
+}
+
+#[test]
+fn a_list_names_three_tests_at_most_each_with_cause_and_issue() {
+    let names = |text: Option<&str>| {
+        let said = check(text);
+        assert!(said.status.success(), "{}", String::from_utf8_lossy(&said.stderr));
+        String::from_utf8(said.stdout).expect("text")
+    };
+    assert_eq!(names(None), "");
+    assert_eq!(names(Some("a::b | it waits in vain | 28\nc | lost at the end | issue 9")), "a::b\nc\n");
+    let line = "a | cause | 1\n";
+    let cases = [
+        (line.repeat(4), "more than three lines"),
+        (format!("{line}a | | 1\n"), "line 2: expected"),
+        ("a | cause |\n".to_owned(), "line 1: expected"),
+        ("| cause | 1\n".to_owned(), "line 1: expected"),
+        ("a b | cause | 1\n".to_owned(), "line 1: expected"),
+        (format!("{line}\n"), "line 2: expected"),
+    ];
+    for (text, fault) in cases {
+        let said = check(Some(&text));
+        let words = String::from_utf8(said.stderr).expect("text");
+        assert!(!said.status.success() && words.contains(fault), "{text:?}: {words}");
+    }
+}
