Guess first work from the shortest aim; call nothing off, and send nothing on, where not allowed

With aims under some 0.14 s every query was refused, so that none ever said so. Now no 'n' is sent, and the core withdraws what no byte of is written (Order::Withdraw).

--- a/src/estimates.rs
+++ b/src/estimates.rs
@@ -1,6 +1,6 @@
 //! Estimators of the decision module: what is learned from few samples, and how it fades. Nothing here chooses.
 
-use crate::api::{Field, LeafId, Time};
+use crate::api::{Field, LeafId, Settings, Time};
 use crate::state::seconds;
 use serde::{Deserialize, Serialize};
 
@@ -10,8 +10,10 @@
 pub const MODEL_GAIN: f64 = 0.01;
 /// Samples' worth of belief in the first guess at how answers slow with work owed.
 const PRIOR: f64 = 20.0;
-/// Work of a part, in seconds, before any was seen and without a hint: only ratios matter until then.
+/// Work of a part, in seconds, that a leaf and the model start from: only ratios matter until one is seen.
 pub const FIRST_WORK: f64 = 0.1;
+/// Work of a part, as a share of the shortest aim, before any was seen and without a hint.
+const FIRST_SHARE: f64 = 0.04;
 /// Seconds in which a share of lost attempts fades as a path mends.
 const LOSS_SPAN: f64 = 10.0;
 
@@ -30,6 +32,17 @@
     pub deviation: f64,
 }
 
+/// The shortest aim of any class, in seconds; infinite where there is no class.
+pub fn shortest_aim(settings: &Settings) -> f64 {
+    settings.classes.iter().map(|class| seconds(class.aim)).fold(f64::INFINITY, f64::min)
+}
+
+/// Work of a part, in seconds, before any was seen and without a hint. Guards fast deployments against a guess made for slow
+/// ones: it would be over their whole aim, every query refused, and nothing ever seen.
+pub fn first_work(settings: &Settings) -> f64 {
+    FIRST_SHARE * shortest_aim(settings)
+}
+
 impl Default for Model {
     fn default() -> Self {
         let belief = PRIOR * FIRST_WORK * FIRST_WORK;
--- a/src/routing/broker.rs
+++ b/src/routing/broker.rs
@@ -47,6 +47,9 @@
     fn call(&self, leaf: LeafId, parts: Vec<Dispatch>);
     /// Nobody waits for this attempt any longer.
     fn abandon(&self, leaf: LeafId, ticket: Ticket);
+    /// What this attempt brings is of no use, but it may not be called off: it is not to be sent, if nothing of it is sent
+    /// yet. A carrier whose attempts may always be called off never hears this.
+    fn withdraw(&self, _leaf: LeafId, _ticket: Ticket) {}
 }
 
 struct Inner {
@@ -153,6 +156,7 @@
             Order::Call { leaf, parts } if parts.is_empty() => log::debug!("empty call to {}", leaf.0),
             Order::Call { leaf, parts } => carrier.call(leaf, parts),
             Order::Abandon { leaf, ticket } => carrier.abandon(leaf, ticket),
+            Order::Withdraw { leaf, ticket } => carrier.withdraw(leaf, ticket),
             Order::Settle { query, verdict } => {
                 let waiting = self.0.waiting.borrow_mut().remove(&query);
                 if let Some(tell) = waiting {
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -161,6 +161,14 @@
         /// The attempt.
         ticket: Ticket,
     },
+    /// Nobody waits for what this attempt brings, but it may not be called off: do not send it, if nothing of it is sent
+    /// yet. Its end is told as ever.
+    Withdraw {
+        /// From this server.
+        leaf: LeafId,
+        /// The attempt.
+        ticket: Ticket,
+    },
     /// Give a query its final answer.
     Settle {
         /// The query.
@@ -747,6 +755,15 @@
     /// Ends a query here; `None` if it has ended before. Its parts go with it.
     fn close(&mut self, id: RequestId) -> Option<(Held, Vec<HeldPart>)> {
         let query = self.queries.remove(&id)?;
+        if !self.contracts.settings.may_cancel {
+            // Guards against sending on for a client that has gone, where the module may not call an attempt off.
+            let attempts = |part: RequestId| {
+                Ticket { part, attempt: AttemptNo(0) }..=Ticket { part, attempt: AttemptNo(u32::MAX) }
+            };
+            let out = query.parts.iter().flat_map(|part| self.flights.range(attempts(*part)));
+            self.orders
+                .extend(out.map(|(ticket, flight)| Order::Withdraw { leaf: flight.leaf, ticket: *ticket }));
+        }
         let parts = query.parts.iter().filter_map(|part| self.parts.remove(part)).collect();
         Some((query, parts))
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,7 +5,9 @@
 //! refusal, attempts, health, ending a query. `README.md` tells how the module sits in the program.
 
 use crate::api::*;
-use crate::estimates::{FIRST_WORK, GAIN, MODEL_GAIN, Model, faded, normalise, utilization};
+use crate::estimates::{
+    FIRST_WORK, GAIN, MODEL_GAIN, Model, faded, first_work, normalise, shortest_aim, utilization,
+};
 use crate::state::{Attempt, Leaf, Part, Query, holders, seconds, span};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -183,7 +185,7 @@
             random,
             born: Time(u64::MAX),
             gap: 1.0,
-            base: vec![FIRST_WORK; settings.classes.len()],
+            base: vec![first_work(&settings); settings.classes.len()],
             watch_at: settings.ask_discovery.then_some(Time(0)),
             watch_backoff: FIRST_HOLD,
             settings,
@@ -319,10 +321,6 @@
 
     // ---- Reports and multipliers ----
 
-    fn learn_report(&mut self, leaf: LeafId, report: &[Option<f64>]) {
-        self.report(leaf, utilization(&self.settings.fields, report));
-    }
-
     /// DESIGN's step: m += beta (mean - u) dt for each shard of the leaf, floored, then normalised.
     fn report(&mut self, id: LeafId, utilization: f64) {
         let Some(leaf) = self.leaves.get_mut(&id) else { return };
@@ -704,7 +702,7 @@
         }
         self.judge_outcome(end.leaf, outcome, work);
         if let Some(report) = end.report {
-            self.learn_report(end.leaf, &report);
+            self.report(end.leaf, utilization(&self.settings.fields, &report));
         }
         self.drop_if_over(end.id);
     }
@@ -749,8 +747,7 @@
     /// Seconds past the expected answer at which an attempt is overdue. Guards against a hidden tail:
     /// where a few leaves are slow, guesses err by more than the aim leaves time for a copy, or for judging.
     fn spread(&self) -> f64 {
-        let aims = self.settings.classes.iter().map(|class| seconds(class.aim));
-        (DEVIATIONS * self.model.deviation).min(OVERDUE * aims.fold(f64::INFINITY, f64::min))
+        (DEVIATIONS * self.model.deviation).min(OVERDUE * shortest_aim(&self.settings))
     }
 
     /// Seconds by which the oldest attempt out at a leaf is later than expected, past the usual spread.
@@ -868,7 +865,7 @@
             self.judge_outcome(id, outcome, 0.0);
         }
         if let Some(report) = report {
-            self.learn_report(id, &report);
+            self.report(id, utilization(&self.settings.fields, &report));
         }
     }
 
--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -41,6 +41,8 @@
     places: Rc<Places>,
     /// Silence after a written call from which a line takes no further ones, and is given up with that call.
     silence: Duration,
+    /// A worker may be told that a part is given up.
+    may_cancel: bool,
     fields: Vec<Field>,
     links: RefCell<HashMap<LeafId, Link>>,
 }
@@ -82,6 +84,8 @@
 struct Call {
     ticket: Ticket,
     written: Option<Instant>,
+    /// Nobody waits for what it brings.
+    withdrawn: bool,
 }
 
 /// How a line ended.
@@ -142,7 +146,7 @@
         let until = parts.iter().filter_map(|part| part.window).min().map(|window| Instant::now() + window);
         for part in parts {
             let id = frame::part_id(&part.label, part.shard.0);
-            calls.insert(id.clone(), Call { ticket: part.ticket, written: None });
+            calls.insert(id.clone(), Call { ticket: part.ticket, written: None, withdrawn: false });
             ids.push(id);
         }
         drop(calls);
@@ -183,8 +187,8 @@
     }
 
     /// Lets go of an attempt; false if it is not on this line. A call of which no byte is written stays here,
-    /// of another the worker is told.
-    fn abandon(&self, ticket: Ticket, silence: Duration) -> bool {
+    /// of another the worker is told, where that is allowed.
+    fn abandon(&self, ticket: Ticket, silence: Duration, tell: bool) -> bool {
         let mut calls = self.calls.borrow_mut();
         let id = calls.iter().find(|(_, call)| call.ticket == ticket).map(|(id, _)| id.clone());
         let Some(id) = id else { return false };
@@ -205,7 +209,14 @@
                 frame.until = Some(frame.until.map_or(stuck, |until| until.min(stuck)));
             }
             self.remember(id.clone());
-            frames.push_back(Frame { rest: frame::give_up(&id), begun: false, ids: Vec::new(), until: None });
+            if tell {
+                frames.push_back(Frame {
+                    rest: frame::give_up(&id),
+                    begun: false,
+                    ids: Vec::new(),
+                    until: None,
+                });
+            }
         }
         // Guards against machines that vanished: their connections stay open, and swallow what is written.
         let written = call.and_then(|call| call.written);
@@ -218,10 +229,24 @@
 
     /// Takes back the calls of which no byte has been written.
     fn unsent(&self) -> Vec<Ticket> {
+        self.take_back(|_| true)
+    }
+
+    /// Takes back what no byte of has been written and nobody waits for: all calls of a frame, or none of them.
+    fn withdraw(&self, ticket: Ticket) -> Vec<Ticket> {
+        let mut calls = self.calls.borrow_mut();
+        let Some(call) = calls.values_mut().find(|call| call.ticket == ticket) else { return Vec::new() };
+        call.withdrawn = true;
+        drop(calls);
+        self.take_back(|call| call.withdrawn)
+    }
+
+    fn take_back(&self, may: impl Fn(&Call) -> bool) -> Vec<Ticket> {
         let mut calls = self.calls.borrow_mut();
         let mut tickets = Vec::new();
         self.frames.borrow_mut().retain(|frame| {
-            if frame.begun || frame.ids.is_empty() {
+            let stays = |id: &String| calls.get(id).is_some_and(|call| !may(call));
+            if frame.begun || frame.ids.is_empty() || frame.ids.iter().any(stays) {
                 return true;
             }
             tickets.extend(frame.ids.iter().filter_map(|id| calls.remove(id)).map(|call| call.ticket));
@@ -254,8 +279,8 @@
         // Guards against writing on into a machine that vanished: silence is judged by what answers may take here.
         let aims = settings.classes.iter().map(|class| class.aim);
         let silence = aims.min().unwrap_or_default().mul_f64(SILENT);
-        let (fields, links) = (settings.fields, RefCell::default());
-        Workers(Rc::new(Shared { broker, dial, limits, places, silence, fields, links }))
+        let (may_cancel, fields, links) = (settings.may_cancel, settings.fields, RefCell::default());
+        Workers(Rc::new(Shared { broker, dial, limits, places, silence, may_cancel, fields, links }))
     }
 
     fn end_all(&self, tickets: Vec<Ticket>, outcome: Outcome) {
@@ -514,11 +539,19 @@
         }
     }
 
+    fn withdraw(&self, leaf: LeafId, ticket: Ticket) {
+        let links = self.0.links.borrow();
+        let lines = links.get(&leaf).into_iter().flat_map(|link| &link.lines);
+        let back = lines.flat_map(|line| line.withdraw(ticket)).collect();
+        drop(links);
+        self.end_all(back, Outcome::Skipped);
+    }
+
     fn abandon(&self, leaf: LeafId, ticket: Ticket) {
         let links = self.0.links.borrow();
         if let Some(link) = links.get(&leaf) {
-            let silence = self.0.silence;
-            link.lines.iter().any(|line| line.abandon(ticket, silence));
+            let (silence, tell) = (self.0.silence, self.0.may_cancel);
+            link.lines.iter().any(|line| line.abandon(ticket, silence, tell));
         }
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -722,3 +722,22 @@
     root.pass(430);
     assert_eq!(root.sent.len() - before, 2, "one copy while it can still be answered in time");
 }
+
+#[test]
+fn a_fast_deployment_without_hints_is_served_from_its_first_query() {
+    // Guards against a first guess made for slow ones: over the whole aim, it has every query refused, and nothing is learned.
+    for aim in [20, 80, 2500, 60_000] {
+        let fast = Class { aim: ms(aim), deadline: ms(2 * aim), ..class(Effect::Repeatable) };
+        let mut root = Root::new(Settings { classes: vec![fast], ..settings() }, &[1, 2, 3]);
+        let (_, _, mut events) = root.query(None, &[0, 1]);
+        for event in &mut events {
+            match event {
+                Event::Query(query) => query.valid_until = root.now.after(ms(2 * aim)),
+                Event::Part(part) => part.hint = None,
+                _ => {}
+            }
+        }
+        root.turn(events);
+        assert_eq!(root.sent.len(), 2, "aim {aim} ms: {:?}", root.actions);
+    }
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -174,8 +174,13 @@
         let (clock, gate, pipes) = (Clock::at(UNIX), Gate::new(places.clone()), Pipes::default());
         let agent = tokio::sync::watch::Sender::new("agent".to_owned());
         match first {
-            "front platform" | "front platform watching agent" | "front platform asking agent" => {
-                let json = serde_json::from_str(include_str!("platform.json")).expect("JSON");
+            "front platform"
+            | "front platform without cancelling"
+            | "front platform watching agent"
+            | "front platform asking agent" => {
+                let mut json: serde_json::Value =
+                    serde_json::from_str(include_str!("platform.json")).expect("JSON");
+                json["settings"]["allowed"]["cancel"] = (!first.ends_with("without cancelling")).into();
                 let config = Config::from_json(&json, |_| None).expect("a configuration");
                 let known = config.known.expect("a list");
                 let broker = broker(config.contracts, &known, clock, &pipes, Form::Frames);
