--- a/src/protocol/http.rs
+++ b/src/protocol/http.rs
@@ -245,6 +245,15 @@
 
 /// Takes one whole response off the front of the buffer; `None` while it is not all there.
 pub fn take_response(buffer: &mut BytesMut, most: usize) -> Result<Option<Incoming>, Malformed> {
+    response(buffer, most, false)
+}
+
+/// The same once the other side has ended the connection: a body without a length lasts until then. A reset is no end.
+pub fn take_last_response(buffer: &mut BytesMut, most: usize) -> Result<Option<Incoming>, Malformed> {
+    response(buffer, most, true)
+}
+
+fn response(buffer: &mut BytesMut, most: usize, ended: bool) -> Result<Option<Incoming>, Malformed> {
     let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
     let mut parsed = httparse::Response::new(&mut fields);
     let status = parsed.parse(buffer);
@@ -253,11 +262,17 @@
         (length, parsed.code.unwrap_or(0), parsed.version == Some(1), headers)
     })?;
     let Some((length, status, modern, headers)) = read else { return Ok(None) };
-    // Without a length the body would last until the connection ends: no party here sends that.
     let empty = matches!(status, 100..200 | 204 | 304).then_some(0);
-    let Some((body, end)) = body(&headers, &buffer[length..], most, empty)? else { return Ok(None) };
+    let framed = headers.get("Content-Length").or(headers.get("Transfer-Encoding")).is_some();
+    let rest = &buffer[length..];
+    let read = match empty {
+        None if !framed && rest.len() > most => return Err(Malformed::BodyTooLong),
+        None if !framed => ended.then(|| (Bytes::copy_from_slice(rest), rest.len())),
+        _ => body(&headers, rest, most, empty)?,
+    };
+    let Some((body, end)) = read else { return Ok(None) };
     buffer.advance(length + end);
-    let keep_alive = modern && !headers.lists("Connection", "close");
+    let keep_alive = (framed || empty.is_some()) && modern && !headers.lists("Connection", "close");
     Ok(Some(Incoming { status, headers, body, keep_alive }))
 }
 
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -36,6 +36,11 @@
             continue;
         }
         if stream.read_buf(buffer).await.map_err(Broken::Unanswered)? == 0 {
+            if let Some(response) = http::take_last_response(buffer, most)?
+                && response.status >= 200
+            {
+                return Ok(response);
+            }
             return Err(Broken::Unanswered(io::ErrorKind::UnexpectedEof.into()));
         }
     }
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -316,7 +316,9 @@
     }
 
     pub fn connect(&self) -> TcpStream {
-        TcpStream::connect(&self.clients).expect("connected")
+        let stream = TcpStream::connect(&self.clients).expect("connected");
+        stream.set_read_timeout(Some(PATIENCE)).expect("set");
+        stream
     }
 }
 
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -5,7 +5,7 @@
 
 use clayshore::protocol::http;
 use clayshore::service::stage::LINGER;
-use common::process::*;
+use common::process::{Discovery, Folder, Gatherer, Worker, config, member, response, until};
 use rustix::net::sockopt::set_socket_linger;
 use rustix::net::{AddressFamily, SocketType};
 use serde_json::{Value, json};
@@ -43,6 +43,15 @@
     found.unwrap_or_else(|| panic!("no {name} in {text}")).parse().expect("a number")
 }
 
+/// Asks for one part of shard 0, of little work: as many as a test asks for are expected to be served in time.
+fn query(stream: &mut TcpStream, id: &str, class: &str) -> std::io::Result<()> {
+    let body = r#"{"ranges":[{"range":0,"portion":1.0,"price":9000}],"predicate":"c41e"}"#;
+    let head = format!(
+        "POST /api HTTP/1.1\r\nX-Call-Id: {id}\r\nX-Call-Class: {class}\r\nX-Caller: bank\r\nX-Budget-Ms: 60000\r\n"
+    );
+    stream.write_all(format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).as_bytes())
+}
+
 /// Its end, with nothing said before; a reset is none.
 fn ends(stream: &mut TcpStream) {
     let mut rest = Vec::new();
@@ -273,7 +282,7 @@
         query(&mut client, &format!("a{at}"), if at % 2 == 0 { "seal" } else { "search" }).expect("written");
         clients.push(client);
     }
-    while count(&mut watch, "sent") < 12 {}
+    until("all are sent", || count(&mut watch, "sent") >= 12);
     // All leave while the process stands still, some by a reset, some behind the beginning of another request.
     gatherer.stand_still();
     for (at, mut client) in clients.into_iter().enumerate() {
@@ -285,7 +294,7 @@
         }
     }
     gatherer.signal("-CONT");
-    while count(&mut watch, "left") < 12 {}
+    until("all have left", || count(&mut watch, "left") >= 12);
     // Now the worker takes connections, those that were coming up among them: none may bring a part.
     let filled = queue.len();
     drop(queue);
@@ -316,3 +325,53 @@
     }
     assert!(came >= filled, "{came} connections came");
 }
+
+/// Answers a part on a worker's connection.
+fn serve(stream: &mut TcpStream, id: &str) {
+    let answer = format!("q{id} good 5 -\n5be2");
+    let mut bytes = (answer.len() as u32).to_le_bytes().to_vec();
+    bytes.extend_from_slice(answer.as_bytes());
+    stream.write_all(&bytes).expect("written");
+}
+
+#[test]
+fn an_idle_connection_that_ends_as_a_part_is_to_be_written_costs_no_query() {
+    for (name, by_reset) in [("idle-end", false), ("idle-reset", true)] {
+        let (folder, (address, told)) = (Folder::new(name), silent_worker());
+        let next = || told.recv_timeout(Duration::from_secs(60)).expect("a connection");
+        let discovery = Discovery::start(&member("w1", &address));
+        let mut gatherer = Gatherer::start(&folder, &patient(&discovery));
+        let mut client = gatherer.connect();
+        query(&mut client, "a", "search").expect("written");
+        let mut kept = next();
+        let id = part(&mut kept);
+        serve(&mut kept, &id);
+        assert_eq!(response(&mut client).expect("an answer").status, 200);
+        // The end of the kept connection and two requests lie there at the same wake.
+        gatherer.stand_still();
+        let mut once = gatherer.connect();
+        query(&mut client, "b", "search").expect("written");
+        query(&mut once, "c", "seal").expect("written");
+        if by_reset {
+            reset(kept);
+        } else {
+            drop(kept);
+        }
+        gatherer.signal("-CONT");
+        let mut parts = Vec::new();
+        for _ in 0..2 {
+            let mut line = next();
+            let id = part(&mut line);
+            serve(&mut line, &id);
+            parts.push((id, line));
+        }
+        parts.sort_by(|a, b| a.0.cmp(&b.0));
+        assert_eq!([&*parts[0].0, &*parts[1].0], ["b.0", "c.0"], "{name}");
+        for client in [&mut client, &mut once] {
+            assert_eq!(response(client).expect("an answer").status, 200, "{name}");
+        }
+        drop((client, once));
+        gatherer.signal("-TERM");
+        assert!(gatherer.ended());
+    }
+}
