Count a retry's aim from its first try, also where it has the time of a whole try left

A retry was known only by having less time left than usual; one whose client gives each try 2.0 s of 3.0 s has just as much left, and was given the whole aim anew (rules.rs, take: 'like'). Ruled out: slow answers to first tries (none late), marks that do not come (1,095 of 1,095 retries are marked). Also seen: a retry repeats the hints, weights, keys and shards of its first try to the last digit (1,095 of 1,095), and 373 of them came to the gatherer of the first try.

Change: client_retries.rs remembers the requests of the last longest deadline by a digest, and tells when the first try was; of those whose first try went elsewhere, the mean of the others. What is left of the time, where it is shorter, goes first, as before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 //! ```
 
 pub mod api;
+mod client_retries;
 mod estimates;
 pub mod fronts;
 pub mod lab;
@@ -79,6 +80,7 @@
 pub mod rules;
 pub mod service;
 mod state;
+mod tenant_shares;
 pub mod transport;
 
 pub use rules::Aggregator;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,10 +5,12 @@
 //! refusal, attempts, health, ending a query. `README.md` tells how the module sits in the program.
 
 use crate::api::*;
+use crate::client_retries::ClientRetries;
 use crate::estimates::{
     FIRST_WORK, GAIN, MODEL_GAIN, Model, faded, first_work, normalise, shortest_aim, utilization,
 };
 use crate::state::{Attempt, Leaf, Part, Query, holders, seconds, span};
+use crate::tenant_shares::TenantShares;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -149,12 +151,9 @@
     parts: BTreeMap<RequestId, Part>,
     /// Requests taken and further attempts made inside the budget's window.
     taken: VecDeque<Time>,
-    /// The time left that most tries of a class come with, and its lead; whether clients mark repeats.
-    patience: BTreeMap<usize, (Duration, i32)>,
-    marked: bool,
+    retries: ClientRetries,
     further: VecDeque<(Time, bool)>,
-    /// Queries that each tenant still has in its share, and when that was last reckoned.
-    shares: BTreeMap<TenantId, (f64, Time)>,
+    shares: TenantShares,
     model: Model,
     /// Share of late attempts that were turned away or timed out.
     lost: f64,
@@ -188,6 +187,7 @@
             base: vec![first_work(&settings); settings.classes.len()],
             watch_at: settings.ask_discovery.then_some(Time(0)),
             watch_backoff: FIRST_HOLD,
+            retries: ClientRetries::new(&settings),
             settings,
             ..Aggregator::default()
         }
@@ -432,13 +432,8 @@
             return false;
         };
         let rate = quota / f64::from(self.settings.roots.max(1));
-        let most = (rate * SHARE_BURST).max(1.0);
-        let (left, at) = self.shares.entry(tenant).or_insert((most, self.now));
-        *left = (*left + rate * seconds(self.now.since(*at))).min(most);
-        *at = self.now;
-        let over = *left < 1.0;
-        *left -= f64::from(u8::from(!over && !asked.retry));
-        over && self.settings.over_share_worth.is_some_and(|worth| worth < 1.0)
+        let exceeded = self.shares.exceeded(self.now, tenant, rate, SHARE_BURST, asked.retry);
+        exceeded && self.settings.over_share_worth.is_some_and(|worth| worth < 1.0)
     }
 
     fn take(&mut self, asked: NewQuery) {
@@ -446,28 +441,10 @@
         self.taken.push_back(self.now);
         let gap = seconds(self.now.since(self.asked.max(self.born)));
         (self.gap, self.asked) = (self.gap + 0.2 * (gap - self.gap), self.now);
-        let class = self.class(asked.class);
-        let (aim, deadline) = class.map_or_else(Default::default, |class| (class.aim, class.deadline));
-        // Guards against repeats as load: most tries of a class come with one time left, a client's last with
-        // what is left of its whole time, and so tells how long ago the first was.
-        self.marked |= asked.retry;
-        let left = asked.valid_until.since(self.now);
-        let usual = self.patience.entry(asked.class.0).or_insert((left, 0));
-        let like = left.abs_diff(usual.0) < left.mul_f64(0.02);
-        if !asked.retry {
-            usual.1 += if like { 1 } else { -1 };
-            if usual.1 < 0 {
-                *usual = (left, 0);
-            }
-        }
-        let spent = deadline.saturating_sub(left);
-        // Unmarked, it could come a quarter of an aim after the longest pause; later means little patience.
-        let latest = aim.mul_f64(1.25) + self.settings.longest_pause.unwrap_or_default();
-        let repeat = (asked.retry || !self.marked && spent <= latest) && !like;
-        let aim = if repeat { aim.saturating_sub(spent) } else { aim };
-        let aim_at = self.now.after(aim).min(asked.valid_until);
         self.jobs.insert(asked.job, asked.id);
-        let query = Query { aim_at, parts: Vec::new(), admitted: false, over_share, first_step: None, asked };
+        // When its aim is missed is reckoned once its parts are in: they tell whose repeat it is.
+        let (aim_at, parts) = (asked.valid_until, Vec::new());
+        let query = Query { aim_at, parts, admitted: false, over_share, first_step: None, asked };
         self.queries.insert(query.asked.id, query);
     }
 
@@ -492,9 +469,22 @@
         self.parts.insert(part.asked.id, part);
     }
 
+    /// Reckons when a query's aim is missed: a client's repeat belongs to its first try.
+    fn reckon_aim(&mut self, id: RequestId) {
+        let Some(query) = self.queries.get_mut(&id) else { return };
+        let Some(class) = self.settings.classes.get(query.asked.class.0) else { return };
+        let parts: Vec<&NewPart> =
+            query.parts.iter().filter_map(|part| Some(&self.parts.get(part)?.asked)).collect();
+        let waited = self.retries.waited(self.now, &query.asked, &parts, class);
+        let aim = class.aim.saturating_sub(span(waited));
+        query.aim_at = self.now.after(aim).min(query.asked.valid_until);
+    }
+
     /// Takes the queries that can be answered within their aim, those worth most for their work first, and
     /// refuses the others at once.
     fn admit(&mut self, actions: &mut Vec<Action>) {
+        let new = self.queries.iter().filter(|(_, query)| !query.admitted && query.first_step.is_none());
+        new.map(|(id, _)| *id).collect::<Vec<_>>().into_iter().for_each(|id| self.reckon_aim(id));
         let mut fresh: Vec<(f64, RequestId)> = Vec::new();
         let waits = |query: &Query| query.first_step.is_some() && query.parts.is_empty();
         for (id, query) in self.queries.iter().filter(|(_, query)| !query.admitted && !waits(query)) {
--- a/src/rules/learned.rs
+++ b/src/rules/learned.rs
@@ -2,6 +2,7 @@
 
 use super::Aggregator;
 use crate::api::*;
+use crate::client_retries::KnownPatience;
 use crate::estimates::{Model, normalise};
 use crate::state::Leaf;
 use serde::{Deserialize, Serialize};
@@ -36,8 +37,8 @@
     leaves: Vec<LearnedLeaf>,
     shards: Vec<(ShardId, Vec<(String, f64)>)>,
     shares: Vec<(TenantId, f64, Time)>,
-    patience: Vec<(usize, Duration, i32)>,
-    marked: bool,
+    #[serde(flatten)]
+    clients: KnownPatience,
     model: Model,
     lost: f64,
     gap: f64,
@@ -103,9 +104,8 @@
         Learned {
             leaves: self.leaves.iter().filter_map(of).collect(),
             shards: self.shards.iter().map(|(shard, held)| (*shard, row(held))).collect(),
-            shares: self.shares.iter().map(|(tenant, (left, at))| (*tenant, *left, *at)).collect(),
-            patience: self.patience.iter().map(|(class, (left, lead))| (*class, *left, *lead)).collect(),
-            marked: self.marked,
+            shares: self.shares.known(),
+            clients: self.retries.known(),
             model: self.model.clone(),
             lost: self.lost,
             gap: self.gap,
@@ -143,13 +143,12 @@
             }
             normalise(row);
         }
-        self.shares = learned.shares.into_iter().map(|(tenant, left, at)| (tenant, (left, at))).collect();
-        self.patience =
-            learned.patience.into_iter().map(|(class, left, lead)| (class, (left, lead))).collect();
+        self.shares.take_over(learned.shares);
+        self.retries.take_over(learned.clients);
         if learned.base.len() == self.base.len() {
             self.base = learned.base;
         }
-        (self.marked, self.model) = (learned.marked, learned.model);
+        self.model = learned.model;
         (self.lost, self.gap) = (learned.lost, learned.gap);
         (self.asked, self.answered) = (learned.asked, learned.answered);
     }
