Take what may be answered in part only where nearly all of it is expected; copy less under load

Lines: rules.rs, admit_one ('most').

Change: what may be answered in part is taken when 0.85 of a whole answer is expected inside the same edge as for others (one lost shard does not refuse it); copies for late parts use the share of the workers that is idle.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,12 +51,15 @@
 /// Seconds between a leaf's answers from which one tells as much of its drag as all before.
 const RARE: f64 = 1.2;
 /// Share of the time to the aim inside which a query must be expected where leaves are busy: guesses err, and
-/// one lost late wastes all its work. Not where a partial answer counts: a late part then costs its share.
+/// one lost late wastes all its work.
 const ADMIT: f64 = 0.7;
 /// The same share where leaves have room: a guess that errs costs little there, for a better replica is soon
 /// found. And the mean utilizations between which it falls to the other.
 const CALM_EDGE: f64 = 1.2;
 const BUSY: (f64, f64) = (0.8, 1.0);
+/// Share of a whole answer that must be expected in that share of the time, where less may be
+/// answered: about what one lost shard leaves.
+const NEARLY_WHOLE: f64 = 0.85;
 /// Seconds of a tenant's share that it may use at once: traffic comes in bursts, and unevenly over the roots.
 const SHARE_BURST: f64 = 3.0;
 /// Part of the usual edge of admission inside which a query beyond its tenant's share must be expected.
@@ -75,7 +78,8 @@
 const FORGET: f64 = 2.0;
 /// Late worth from which a query is worth carrying on past its aim.
 const LATE_WORTH: f64 = 0.25;
-/// Copies free in a window, and those for each request taken in it: the copies of all roots are load to each.
+/// Copies free in a window, and those for each request taken in it while all leaves are idle: the copies of all
+/// roots are load to each.
 const COPIES: f64 = 2.0;
 const COPY_SHARE: f64 = 0.05;
 /// Share of service that probes may cost where reports come no other way: it sets the time between them.
@@ -501,14 +505,16 @@
         }
     }
 
+    /// Mean utilization of the leaves, as last reported; `None` before any report.
+    fn utilization(&self) -> Option<f64> {
+        let known: Vec<f64> = self.leaves.values().filter_map(|leaf| leaf.utilization).collect();
+        (!known.is_empty()).then(|| known.iter().sum::<f64>() / known.len() as f64)
+    }
+
     /// Share of the time to the aim inside which a query must be expected: the less, the busier leaves report
     /// to be. Guards against refusing on a quiet fleet what any replica would have served.
     fn edge(&self) -> f64 {
-        let known: Vec<f64> = self.leaves.values().filter_map(|leaf| leaf.utilization).collect();
-        if known.is_empty() {
-            return ADMIT;
-        }
-        let mean = known.iter().sum::<f64>() / known.len() as f64;
+        let Some(mean) = self.utilization() else { return ADMIT };
         let busy = ((mean - BUSY.0) / (BUSY.1 - BUSY.0)).clamp(0.0, 1.0);
         CALM_EDGE + (ADMIT - CALM_EDGE) * busy
     }
@@ -521,10 +527,12 @@
         let Some(class) = self.settings.classes.get(query.asked.class.0) else {
             return self.end(id, Ending::Abandon { pause: Duration::ZERO }, actions);
         };
-        let need =
-            if query.first_step.is_some() { class.min_share } else { class.min_share.min(class.whole_at) };
-        let most = if need < class.whole_at - EPSILON { 1.0 } else { usual_edge };
-        let edge = (most - self.lost.min(0.5)) * if over_share { OVER_SHARE_EDGE } else { 1.0 };
+        // Guards against queues of parts whose answers come in part only, and against refusing all for one shard.
+        let need = match query.first_step {
+            Some(_) => class.min_share,
+            None => class.min_share.max(NEARLY_WHOLE * class.whole_at).min(class.whole_at),
+        };
+        let edge = (usual_edge - self.lost.min(0.5)) * if over_share { OVER_SHARE_EDGE } else { 1.0 };
         let left = seconds(query.aim_at.since(self.now));
         let mut plan: Vec<(RequestId, f64, f64, LeafId, f64)> = Vec::new();
         for id in query.parts.clone() {
@@ -597,13 +605,14 @@
     }
 
     /// The budget, where one is stated, and a limit on copies. Guards against copies as load: what the rule
-    /// leaves free to each of many roots adds up.
+    /// leaves free to each of many roots adds up, and copies where leaves are busy keep others' parts waiting.
     fn budget_allows(&self, copy: bool) -> bool {
         let taken = self.taken.len() as f64;
         let copies = self.further.iter().filter(|(_, copy)| *copy).count() as f64;
+        let room = || 1.0 - self.utilization().unwrap_or(0.0);
         let budget = self.settings.budget.as_ref();
         budget.is_none_or(|limit| self.further.len() as f64 + 1.0 <= limit.free + limit.ratio * taken)
-            && (!copy || copies + 1.0 <= COPIES + COPY_SHARE * taken)
+            && (!copy || copies + 1.0 <= COPIES + COPY_SHARE * taken * room())
     }
 
     /// The one place that sends.
