--- a/src/rules.rs
+++ b/src/rules.rs
@@ -78,8 +78,8 @@
 const FORGET: f64 = 2.0;
 /// Late worth from which a query is worth carrying on past its aim.
 const LATE_WORTH: f64 = 0.25;
-/// Copies free in a window, and those for each request taken in it while all leaves are idle: the copies of all
-/// roots are load to each.
+/// Copies free in a window, and those for each request taken in it while all leaves are idle: the copies of
+/// all roots are load to each.
 const COPIES: f64 = 2.0;
 const COPY_SHARE: f64 = 0.05;
 /// Share of service that probes may cost where reports come no other way: it sets the time between them.
@@ -527,7 +527,7 @@
         let Some(class) = self.settings.classes.get(query.asked.class.0) else {
             return self.end(id, Ending::Abandon { pause: Duration::ZERO }, actions);
         };
-        // Guards against queues of parts whose answers come in part only, and against refusing all for one shard.
+        // Guards against queues of parts whose answers come in part only, and against refusing all for a shard.
         let need = match query.first_step {
             Some(_) => class.min_share,
             None => class.min_share.max(NEARLY_WHOLE * class.whole_at).min(class.whole_at),
@@ -605,7 +605,7 @@
     }
 
     /// The budget, where one is stated, and a limit on copies. Guards against copies as load: what the rule
-    /// leaves free to each of many roots adds up, and copies where leaves are busy keep others' parts waiting.
+    /// leaves free to each of many roots adds up, and copies at busy leaves keep others' parts waiting.
     fn budget_allows(&self, copy: bool) -> bool {
         let taken = self.taken.len() as f64;
         let copies = self.further.iter().filter(|(_, copy)| *copy).count() as f64;
