--- a/src/rules.rs
+++ b/src/rules.rs
@@ -527,7 +527,7 @@
         let Some(class) = self.settings.classes.get(query.asked.class.0) else {
             return self.end(id, Ending::Abandon { pause: Duration::ZERO }, actions);
         };
-        // Guards against queues of parts whose answers come in part only, and against refusing all for a shard.
+        // Guards against queues for answers that come in part only, and against refusing all for one shard.
         let need = match query.first_step {
             Some(_) => class.min_share,
             None => class.min_share.max(NEARLY_WHOLE * class.whole_at).min(class.whole_at),
