Try a suspect that speaks before the same replica again; reckon room from reports alone

Lines: rules.rs, choose, where suspects are left out while any trusted replica is left, tried or not. Change: once a part's attempts have ended at all that are trusted, a suspect that speaks comes before the same again; copies of what is still out are not risked there.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -57,9 +57,6 @@
 /// found. And the mean utilizations between which it falls to the other.
 const CALM_EDGE: f64 = 1.2;
 const BUSY: (f64, f64) = (0.8, 1.0);
-/// Share of a whole answer that must be expected in that share of the time, where less may be
-/// answered: about what one lost shard leaves.
-const NEARLY_WHOLE: f64 = 0.85;
 /// Seconds of a tenant's share that it may use at once: traffic comes in bursts, and unevenly over the roots.
 const SHARE_BURST: f64 = 3.0;
 /// Part of the usual edge of admission inside which a query beyond its tenant's share must be expected.
@@ -161,6 +158,8 @@
     model: Model,
     /// Share of late attempts that were turned away or timed out.
     lost: f64,
+    /// Mean utilization that answers report.
+    reported: f64,
     /// Mean seconds between queries, and the last one's arrival.
     gap: f64,
     asked: Time,
@@ -376,13 +375,17 @@
         let sound = |leaf: &Leaf| leaf.suspect.is_none_or(|(next, _)| next <= self.now && trial(leaf));
         let trusted = |leaf: &Leaf| sound(leaf) && !loses(leaf, LOSES.0);
         let speaks = |leaf: &Leaf| !leaf.silent && !loses(leaf, LOSES.0);
-        if open.iter().any(|(_, _, leaf)| trusted(leaf)) {
+        // What has failed at all that are trusted goes to a suspect that speaks, not to the same again.
+        let fresh = |id: LeafId| part.attempts.iter().all(|attempt| attempt.leaf != id);
+        let ended = !part.attempts.iter().any(|attempt| attempt.out());
+        let left = |may: &dyn Fn(&Leaf) -> bool| open.iter().any(|(id, _, leaf)| fresh(*id) && may(leaf));
+        let elsewhere = ended && !left(&trusted) && left(&speaks);
+        if !elsewhere && open.iter().any(|(_, _, leaf)| trusted(leaf)) {
             open.retain(|(_, _, leaf)| trusted(leaf));
         } else if open.iter().any(|(_, _, leaf)| speaks(leaf)) {
             open.retain(|(_, _, leaf)| speaks(leaf));
         }
         open.retain(|(_, _, leaf)| self.guard(part, leaf) && !loses(leaf, LOSES.1));
-        let fresh = |id: LeafId| part.attempts.iter().all(|attempt| attempt.leaf != id);
         if open.iter().any(|(id, _, _)| fresh(*id)) {
             open.retain(|(id, _, _)| fresh(*id));
         }
@@ -505,32 +508,31 @@
         }
     }
 
-    /// Mean utilization of the leaves, as last reported; `None` before any report.
-    fn utilization(&self) -> Option<f64> {
-        let known: Vec<f64> = self.leaves.values().filter_map(|leaf| leaf.utilization).collect();
-        (!known.is_empty()).then(|| known.iter().sum::<f64>() / known.len() as f64)
-    }
-
     /// Share of the time to the aim inside which a query must be expected: the less, the busier leaves report
     /// to be. Guards against refusing on a quiet fleet what any replica would have served.
     fn edge(&self) -> f64 {
-        let Some(mean) = self.utilization() else { return ADMIT };
+        let known: Vec<f64> = self.leaves.values().filter_map(|leaf| leaf.utilization).collect();
+        if known.is_empty() {
+            return ADMIT;
+        }
+        let mean = known.iter().sum::<f64>() / known.len() as f64;
         let busy = ((mean - BUSY.0) / (BUSY.1 - BUSY.0)).clamp(0.0, 1.0);
         CALM_EDGE + (ADMIT - CALM_EDGE) * busy
     }
 
     fn admit_one(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let usual_edge = self.edge();
+        let all_but_one_cell = 1.0 - 1.0 / f64::from(self.settings.cells.max(1));
         let Some(query) = self.queries.get_mut(&id) else { return };
         query.admitted = true;
         let over_share = query.over_share;
         let Some(class) = self.settings.classes.get(query.asked.class.0) else {
             return self.end(id, Ending::Abandon { pause: Duration::ZERO }, actions);
         };
-        // Guards against queues for answers that come in part only, and against refusing all for one shard.
+        // Guards against queues for answers that come in part only, and against refusing all for one cell.
         let need = match query.first_step {
             Some(_) => class.min_share,
-            None => class.min_share.max(NEARLY_WHOLE * class.whole_at).min(class.whole_at),
+            None => class.min_share.max(class.whole_at * all_but_one_cell).min(class.whole_at),
         };
         let edge = (usual_edge - self.lost.min(0.5)) * if over_share { OVER_SHARE_EDGE } else { 1.0 };
         let left = seconds(query.aim_at.since(self.now));
@@ -609,10 +611,9 @@
     fn budget_allows(&self, copy: bool) -> bool {
         let taken = self.taken.len() as f64;
         let copies = self.further.iter().filter(|(_, copy)| *copy).count() as f64;
-        let room = || 1.0 - self.utilization().unwrap_or(0.0);
         let budget = self.settings.budget.as_ref();
         budget.is_none_or(|limit| self.further.len() as f64 + 1.0 <= limit.free + limit.ratio * taken)
-            && (!copy || copies + 1.0 <= COPIES + COPY_SHARE * taken * room())
+            && (!copy || copies + 1.0 <= COPIES + COPY_SHARE * taken * (1.0 - self.reported))
     }
 
     /// The one place that sends.
@@ -701,7 +702,9 @@
         }
         self.judge_outcome(end.leaf, outcome, work);
         if let Some(report) = end.report {
-            self.report(end.leaf, utilization(&self.settings.fields, &report));
+            let utilization = utilization(&self.settings.fields, &report);
+            self.reported += GAIN * (utilization - self.reported);
+            self.report(end.leaf, utilization);
         }
         self.drop_if_over(end.id);
     }
