Keep membership off where the platform itself carries datagrams between gatherers

Nothing read these keys: with a table [membership] in an operator's file and allowed.may-tell on, membership would have sent datagrams of up to 1,200 bytes (protocol/gossip.rs, DATAGRAM) and connected by TCP (transport/members.rs). Change: Config::from_json reads whether `peer_listen` is there, and program::members::begin then stays off with a warning.

--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -60,6 +60,8 @@
     pub known: Option<Listing>,
     /// Where discovery has to be asked: the time in which it must be.
     pub ask_in: Option<Duration>,
+    /// The platform itself carries datagrams between gatherers, of 256 bytes at most, and nothing else.
+    pub peer_datagrams: bool,
     /// Contracts and limits.
     pub contracts: Contracts,
 }
@@ -139,6 +141,7 @@
             memory_mb,
             known,
             ask_in,
+            peer_datagrams: json.get("peer_listen").is_some_and(|address| !address.is_null()),
             contracts,
         })
     }
--- a/src/program/members.rs
+++ b/src/program/members.rs
@@ -37,9 +37,11 @@
     }
 }
 
-/// This gatherer as a member, if its operators want that and its settings allow it.
+/// This gatherer as a member, if its operators want that, its settings allow it, and the platform has no path of its own
+/// between gatherers.
 pub fn begin(
     wanted: Option<&Membership>,
+    peer_datagrams: bool,
     name: &str,
     broker: &Broker,
     clock: Clock,
@@ -55,6 +57,13 @@
         log::warn!("membership stays off: the settings do not allow gatherers to talk (allowed.may-tell)");
         return None;
     }
+    // Guards against datagrams of up to 1,200 bytes, and connections, where neither is allowed.
+    if peer_datagrams {
+        log::warn!(
+            "membership stays off: the platform carries datagrams of 256 bytes between gatherers and nothing else (peer_listen)"
+        );
+        return None;
+    }
     let own = Claim {
         name: name.to_owned(),
         start: clock.now().0,
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -114,7 +114,14 @@
         let workers = Workers::new(broker.clone(), dial.clone(), places.clone());
         spawn_local(workers.clone().give_way());
         let gate = Gate::new(places.clone());
-        let members = members::begin(operator.membership.as_ref(), &config.name, &broker, clock, &recording);
+        let members = members::begin(
+            operator.membership.as_ref(),
+            config.peer_datagrams,
+            &config.name,
+            &broker,
+            clock,
+            &recording,
+        );
         let upgrade = alone
             .is_none()
             .then(|| Upgrade::new(broker.clone(), gate.clone(), clock, allowed, config.listen));
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -4,9 +4,10 @@
 mod common;
 
 use common::links::Fleet;
-use common::process::{operate, until};
+use common::process::{Discovery, Folder, Gatherer, Worker, config, free, listen, member, operate, until};
 use std::net::UdpSocket;
 use std::process::Command;
+use std::time::Duration;
 
 #[test]
 fn a_killed_process_is_dead_to_all_and_its_next_start_is_new() {
@@ -158,3 +159,27 @@
     // A wrong call changes nothing.
     assert_eq!(operate(&fleet.member(0).operators, "PUT", "/-/members").0, 405);
 }
+
+#[test]
+fn where_the_platform_carries_datagrams_itself_membership_sends_none() {
+    // There a datagram over 256 bytes, and any other path between gatherers, is forbidden; a member's are up to 1,200.
+    let (folder, worker) = (Folder::new("peers"), Worker::start());
+    let discovery = Discovery::start(&member("w1", &worker.address));
+    let seed = listen();
+    let at = seed.local_addr().expect("an address");
+    let datagrams = UdpSocket::bind(at).expect("the same port");
+    let mut config = config(&discovery);
+    config["settings"]["allowed"]["may-tell"] = true.into();
+    (config["peer_listen"], config["peers"]) = (free().into(), vec![at.to_string()].into());
+    let operator = format!("[membership]\nlisten = \"{}\"\ncluster = \"test\"\nseeds = [\"{at}\"]\n", free());
+    let gatherer = Gatherer::begin_operated(&folder, &config, &operator);
+    gatherer.logged(" serving on ");
+    // A member calls its seeds with its first beat, half a second from its start at most.
+    seed.set_nonblocking(true).expect("set");
+    datagrams.set_read_timeout(Some(Duration::from_secs(1))).expect("set");
+    let heard = datagrams.recv(&mut [0; 2000]);
+    assert!(heard.is_err(), "{heard:?} bytes came");
+    assert!(seed.accept().is_err(), "it connected to a seed");
+    gatherer.logged("membership stays off: the platform carries datagrams");
+    assert_eq!(operate(&gatherer.operators, "GET", "/-/members").0, 404);
+}
