Ask discovery again within 3 s of a failure where so few gatherers ask

Cause: what changed counts as told 6 s after discovery can be reached again, whatever failed before. Where discovery has to be asked, Backoff::pause doubled three times from 0.1 s and a round of all callers: up to 7.2 s for 4 gatherers, and 32 s for 48, though pauses of up to twice a round already keep all of them at the 5 calls a second that they may make. Change: no pause is longer than 3 s, or twice a round where that is more. Lists that are pushed are not touched.

--- a/src/limits/backoff.rs
+++ b/src/limits/backoff.rs
@@ -9,6 +9,9 @@
 const SHORT: Duration = Duration::from_millis(100);
 /// The longest pause, where being told is not counted in calls.
 const LONGEST: Duration = Duration::from_secs(1);
+/// The longest pause of callers so few that the service bears them all within it. What changes counts as told 6 s after the
+/// service can be reached again, however the calls before ended: of that, a call may wait 2 s for its turn.
+const AGAIN: Duration = Duration::from_secs(3);
 /// Share of the time in which it must ask that a caller takes.
 const CARE: f64 = 0.8;
 /// How many calls for changes a call for the whole list costs the service, at least.
@@ -63,12 +66,20 @@
         if let Some(longest) = self.free {
             return longest.mul_f64(self.random.f64());
         }
-        let first = if overbooked { SHORT + self.round() } else { SHORT };
-        let most =
-            (first * (1 << self.failures.min(DOUBLINGS))).min((self.ask_in * 4).mul_f64(CARE).max(LONGEST));
+        let first = if overbooked { self.first_overbooked() } else { SHORT };
+        let most = (first * (1 << self.failures.min(DOUBLINGS))).min(self.longest());
         self.failures += 1;
         most.mul_f64(self.random.f64())
     }
+    /// The longest first pause after a failure that tells of overload.
+    fn first_overbooked(&self) -> Duration {
+        SHORT + self.round()
+    }
+    /// The longest pause of all: with pauses of up to twice a round, all callers together make the calls that they may.
+    fn longest(&self) -> Duration {
+        let borne = AGAIN.max(self.first_overbooked() * 2);
+        borne.min((self.ask_in * 4).mul_f64(CARE)).max(LONGEST)
+    }
     /// How long to wait before the first call, which asks for changes of a list that is held. Guards against all that
     /// start together asking together.
     pub fn start(&mut self) -> Duration {
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -95,7 +95,9 @@
 
 impl Discovery {
     pub fn start(members: &str) -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Discovery::on(TcpListener::bind("127.0.0.1:0").expect("a port"), members)
+    }
+    pub fn on(listener: TcpListener, members: &str) -> Discovery {
         let address = listener.local_addr().expect("an address").to_string();
         let told: Told = Arc::new((Mutex::new((1, members.to_owned())), Condvar::new()));
         let discovery = Discovery { address, told: told.clone() };
