--- a/tests/workers.rs
+++ b/tests/workers.rs
@@ -4,7 +4,7 @@
 use clayshore::api::*;
 use clayshore::limits::{Plan, Side};
 use clayshore::program::config::Config;
-use clayshore::routing::{Ask, AskPart, Broker, Clock, Core, Verdict};
+use clayshore::routing::{Ask, AskPart, Broker, Clock, Core, Order, Verdict};
 use clayshore::transport::places::{Place, Places};
 use clayshore::transport::stream::{Dial, Dialling, Stream};
 use clayshore::transport::workers::Workers;
@@ -200,3 +200,26 @@
         }
     });
 }
+
+#[test]
+fn a_frame_carries_no_more_parts_than_one_call_may() {
+    let mut json: serde_json::Value =
+        serde_json::from_str(include_str!("scenario/platform.json")).expect("JSON");
+    json["settings"]["domain"]["per-call"] = 2.into();
+    json["settings"]["domain"]["slices"] = 5.into();
+    let config = Config::from_json(&json, |_| None).expect("a configuration");
+    let (broker, now) = (Broker::new(Core::new(config.contracts), Clock::at(Time(1 << 60))), Time(1 << 60));
+    let mut list = config.known.expect("a list");
+    list.members.truncate(1);
+    broker.learn(&list, true);
+    let ask = ask("frames", "search", 5, &broker);
+    let orders = broker.core(|core| {
+        core.offer(now, ask).expect("taken");
+        core.turn(now)
+    });
+    let calls = orders.iter().filter_map(|order| match order {
+        Order::Call { parts, .. } => Some(parts.len()),
+        _ => None,
+    });
+    assert_eq!(calls.collect::<Vec<_>>(), [2, 2, 1]);
+}
