Split routing/core.rs by job

Need: 792 lines held the types of queries, attempts and orders, the bookkeeping of attempts in flight, the worker list with its operators' disables, the counters and the turn. Each has a file of its own under src/routing/ now; public paths stay. No behaviour changes.

--- /dev/null
+++ b/src/routing/attempt.rs
@@ -0,0 +1,54 @@
+//! An attempt to have one part of a query answered: its name, what a transport carries, and how it ended. Plain values,
+//! which hold no state of the broker.
+
+use crate::api::*;
+use bytes::Bytes;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Names one attempt of one part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket {
+    /// The part.
+    pub part: RequestId,
+    /// The attempt.
+    pub attempt: AttemptNo,
+}
+
+/// An attempt for a transport to carry.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    /// Comes back with its end.
+    pub ticket: Ticket,
+    /// The query's label.
+    pub label: Arc<str>,
+    /// The shard.
+    pub shard: ShardId,
+    /// What it carries.
+    pub text: Bytes,
+    /// How long it will be waited for.
+    pub timeout: Duration,
+    /// It may not run a second time: what spoils the answers of others is not to spoil its own.
+    pub once: bool,
+    /// For so long the last byte of its frame may be written; `None` where any time will do. It is a further attempt of
+    /// a part whose repeats are dropped only for a while after the first that may have run.
+    pub window: Option<Duration>,
+}
+
+/// How an attempt ended, as a transport reports it.
+#[derive(Clone, Debug)]
+pub struct End {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The value, with [`Outcome::Done`].
+    pub value: Bytes,
+    /// The server's load, in the order of the settings' fields.
+    pub report: Option<Report>,
+}
+
+impl End {
+    /// An end that brings nothing but its outcome.
+    pub fn bare(outcome: Outcome) -> End {
+        End { outcome, value: Bytes::new(), report: None }
+    }
+}
--- a/src/routing/broker.rs
+++ b/src/routing/broker.rs
@@ -1,6 +1,9 @@
 //! Hosts the [`Core`] on a clock: fronts ask it, a transport carries its calls, one task drives its turns.
 
-use super::core::{Ask, Core, Dispatch, End, Order, Ticket, Verdict};
+use super::attempt::{Dispatch, End, Ticket};
+use super::core::Core;
+use super::order::Order;
+use super::query::{Ask, Verdict};
 use super::roster::Listing;
 use crate::api::*;
 use std::cell::RefCell;
--- /dev/null
+++ b/src/routing/core/servers.rs
@@ -0,0 +1,175 @@
+//! What the core hears of servers and of other gatherers: discovery's lists, operators' calls, load reports, what another
+//! process of this gatherer knew; and what the records are told of it.
+
+use super::Core;
+use crate::api::*;
+use crate::records::line::{Body, WorkerState};
+use crate::routing::order::Order;
+use crate::routing::roster::Listing;
+use crate::routing::worker_list::{MOST_NAMES, WorkerList};
+use crate::routing::worker_states::WorkerStates;
+use crate::rules::Learned;
+use crate::service::Bans;
+use std::time::Duration;
+
+impl Core {
+    /// Whether it knows of any server.
+    pub fn ready(&self) -> bool {
+        self.servers.len() > 0
+    }
+
+    /// Servers in the list.
+    pub fn listed(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Listed servers that are out by hand, or get nothing but trials.
+    pub fn avoided(&self) -> usize {
+        let suspects = self.module.suspects().filter(|leaf| self.servers.contains(*leaf));
+        self.servers.count_out() + suspects.count()
+    }
+
+    /// The name of a server that was ever listed.
+    pub fn name(&self, leaf: LeafId) -> Option<&str> {
+        self.servers.roster.name(leaf)
+    }
+
+    /// The list as discovery last told it.
+    pub fn list_told(&self) -> Listing {
+        self.servers.listing()
+    }
+
+    /// Whether discovery itself has told a list.
+    pub fn told(&self) -> bool {
+        self.told_list
+    }
+
+    /// Who is out by hand.
+    pub fn bans(&self) -> &Bans {
+        &self.servers.bans
+    }
+
+    /// News from discovery; `cached` for the list as last held.
+    pub fn learn(&mut self, now: Time, listing: &Listing, cached: bool) {
+        self.counters.listings += 1;
+        self.told_list |= !cached;
+        let (entries, orders) = self.servers.take(&self.contracts, listing);
+        self.orders.extend(orders);
+        self.record_list(now, listing, &entries);
+        self.servers.forget_gone(&self.in_flight);
+        self.inbox.push(Event::Membership(match (cached, listing.complete) {
+            (true, _) => Membership::Cached(entries.into()),
+            (false, true) => Membership::Full(entries.into()),
+            (false, false) => Membership::Delta(entries.into()),
+        }));
+    }
+
+    /// A load report that came by itself, not with an answer.
+    pub fn load_report(&mut self, server: &str, report: Report) -> bool {
+        let Some(leaf) = self.servers.roster.known(server) else { return false };
+        let (outcome, elapsed) = (Outcome::Done, Duration::ZERO);
+        self.inbox.push(Event::Probed { leaf, outcome, elapsed, report: Some(report) });
+        true
+    }
+
+    /// Takes a server out by hand until [`Core::enable`], whatever the list says meanwhile; false if no list ever named
+    /// it, and then nothing changes.
+    pub fn disable(&mut self, now: Time, name: &str) -> bool {
+        self.by_hand(now, name, |bans| bans.disable(name))
+    }
+
+    /// Takes a server back that was taken out by hand; false if no list ever named it.
+    pub fn enable(&mut self, now: Time, name: &str) -> bool {
+        self.by_hand(now, name, |bans| bans.enable(now, name))
+    }
+
+    fn by_hand(&mut self, now: Time, name: &str, change: impl FnOnce(&mut Bans) -> bool) -> bool {
+        let Some(leaf) = self.servers.roster.known(name) else { return false };
+        if !change(&mut self.servers.bans) {
+            return true;
+        }
+        let place = if self.servers.bans.is_out(name) { "out" } else { "back" };
+        self.orders.push(Order::Trace(format!("worker {name} is {place} by hand")));
+        if let Some(member) = self.servers.get(leaf) {
+            let entry = self.servers.entry(&self.contracts, leaf, member);
+            self.orders.push(WorkerList::order(&entry, member));
+            self.record_states(now, std::slice::from_ref(&entry), Vec::new());
+            self.inbox.push(Event::Membership(Membership::Delta([entry].into())));
+        }
+        true
+    }
+
+    /// So many processes are this one gatherer, and share what it may hold and push.
+    pub fn share(&mut self, processes: u32) {
+        self.processes = processes.max(1);
+        let whole = self.contracts.settings.fall_multiple;
+        self.module.push_cold_by(whole / f64::from(self.processes));
+    }
+
+    /// So many gatherers share the fleet: in place of the settings' number, for cold servers, trials of suspects, tenants'
+    /// quotas and calls to discovery.
+    pub fn among(&mut self, gatherers: u32) {
+        self.contracts.settings.roots = gatherers.max(1);
+        self.module.among(gatherers);
+    }
+
+    /// How many share it.
+    pub fn gatherers(&self) -> u32 {
+        self.contracts.settings.roots
+    }
+
+    /// What the module has learned.
+    pub fn learned(&self) -> Learned {
+        self.module.learned(|leaf| self.servers.roster.name(leaf))
+    }
+
+    /// A server that a list named to another process of this gatherer.
+    pub fn know(&mut self, name: &str) {
+        self.servers.roster.id(name);
+    }
+
+    /// Takes over what another process of this gatherer knew: its list, who is out by hand, what its module learned.
+    pub fn take_over(&mut self, now: Time, list: &Listing, bans: Bans, learned: Learned) {
+        learned.names().chain(bans.all()).take(MOST_NAMES).for_each(|name| self.know(name));
+        self.servers.bans = bans;
+        self.learn(now, list, true);
+        // The module has to know the leaves before it is told of them.
+        let orders = self.turn(now);
+        self.module.take_over(learned, |name| self.servers.roster.known(name));
+        self.orders.extend(orders);
+    }
+
+    /// Tells the records what a list has changed.
+    fn record_list(&mut self, now: Time, listing: &Listing, entries: &[Entry]) {
+        if self.figures.is_none() {
+            return;
+        }
+        let (revision, complete, workers) = (listing.revision, listing.complete, self.servers.len());
+        self.news.push(Body::List { revision, complete, workers });
+        let gone = self.states.missing(|leaf| self.servers.contains(leaf));
+        self.record_states(now, entries, gone);
+    }
+
+    /// Tells the records how these servers are seen now, where that has changed, and which are gone.
+    fn record_states(&mut self, now: Time, entries: &[Entry], gone: Vec<LeafId>) {
+        if self.figures.is_none() {
+            return;
+        }
+        for entry in entries {
+            let out = self.servers.is_out(entry.leaf);
+            let warm_up = self.contracts.settings.warm_up;
+            self.record_state(entry.leaf, WorkerStates::of(entry, out, now, warm_up));
+        }
+        for leaf in gone {
+            self.record_state(leaf, WorkerState::Gone);
+        }
+    }
+
+    fn record_state(&mut self, leaf: LeafId, state: WorkerState) {
+        if self.states.update(leaf, state)
+            && let Some(name) = self.servers.roster.name(leaf)
+        {
+            self.news.push(Body::Worker { worker: name.to_owned(), state });
+        }
+    }
+}
--- a/src/routing/counters.rs
+++ b/src/routing/counters.rs
@@ -1,6 +1,7 @@
 //! What the broker took in, sent and answered, counted since its start.
 
 use crate::api::Outcome;
+use crate::records::figures;
 use std::fmt;
 
 macro_rules! counters {
@@ -88,6 +89,54 @@
     }
 }
 
+/// The queries of all classes, in the order of the contracts. A class that is in none of them counts nowhere.
+pub(super) struct ClassEnds(Vec<Ends>);
+
+impl ClassEnds {
+    /// Nothing yet, for so many classes.
+    pub fn new(classes: usize) -> ClassEnds {
+        ClassEnds(vec![Ends::default(); classes])
+    }
+
+    /// All classes.
+    pub fn all(&self) -> &[Ends] {
+        &self.0
+    }
+
+    /// A query of this class came.
+    pub fn came(&mut self, class: usize) {
+        if let Some(ends) = self.0.get_mut(class) {
+            ends.came += 1;
+        }
+    }
+
+    /// A query of this class ended. Every end of a query passes here, once.
+    pub fn ended(&mut self, class: usize, end: figures::End) {
+        use figures::End;
+        let Some(ends) = self.0.get_mut(class) else { return };
+        *match end {
+            End::WholeInTime | End::WholeLate | End::Partial => &mut ends.succeeded,
+            End::RefusedDeclined | End::RefusedFull | End::RefusedStopping => &mut ends.declined,
+            End::FailedGivenUp | End::FailedOverdue => &mut ends.aborted,
+            End::Left => &mut ends.left,
+        } += 1;
+    }
+}
+
+/// The name of an outcome in the records.
+pub(super) fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => figures::DONE,
+        Outcome::Error => "error",
+        Outcome::Busy => "busy",
+        Outcome::TimedOut => "timed_out",
+        Outcome::Refused => "refused",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::Skipped => "skipped",
+    }
+}
+
 impl Counters {
     /// Counts the end of an attempt.
     pub fn ended(&mut self, outcome: Outcome) {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,16 +1,26 @@
 //! The broker between fronts and servers. It knows no wire: it hosts one decision module with its clock and timers,
 //! maps names to the module's ids, delivers the module's actions, and sees each query through to its one answer.
 
+pub mod attempt;
 pub mod broker;
 pub mod contracts;
 pub mod core;
 pub mod counters;
 pub mod held;
+mod in_flight;
 pub mod ledger;
+mod open_queries;
+pub mod order;
+pub mod query;
 pub mod roster;
+mod worker_list;
+mod worker_states;
 
+pub use attempt::{Dispatch, End, Ticket};
 pub use broker::{Broker, Carrier, Clock};
 pub use contracts::{Contracts, Limits};
-pub use core::{Ask, AskPart, Core, Dispatch, End, Order, Refusal, Ticket, Verdict};
+pub use core::Core;
 pub use counters::Counters;
+pub use order::Order;
+pub use query::{Ask, AskPart, Refusal, Verdict};
 pub use roster::{Listing, Member};
--- /dev/null
+++ b/src/routing/open_queries.rs
@@ -0,0 +1,112 @@
+//! The queries that wait for their answer, with their parts and what has come in for them. It owns no attempt: those are
+//! in [`super::in_flight`].
+
+use crate::api::*;
+use crate::records::figures::Seen;
+use bytes::Bytes;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A query that waits for its answer.
+pub(super) struct Held {
+    /// Names it to the servers.
+    pub label: Arc<str>,
+    /// What each of its parts carries.
+    pub text: Bytes,
+    /// It may not run a second time.
+    pub once: bool,
+    /// How long its client will wait.
+    pub valid_until: Time,
+    /// Its parts.
+    pub parts: Vec<RequestId>,
+    /// Its class and tenant, as they are counted.
+    pub seen: Seen,
+    /// When it was taken in.
+    pub taken: Time,
+}
+
+/// A part of such a query.
+pub(super) struct HeldPart {
+    /// The query.
+    pub query: RequestId,
+    /// The shard that it needs.
+    pub shard: ShardId,
+    /// Attempts so far.
+    pub attempts: u32,
+    /// When those of its attempts were sent that may have run, or may yet.
+    pub risks: BTreeMap<AttemptNo, Time>,
+    /// The value, once one is in.
+    pub value: Option<Bytes>,
+}
+
+impl HeldPart {
+    /// A part that was never sent.
+    pub fn new(query: RequestId, shard: ShardId) -> HeldPart {
+        HeldPart { query, shard, attempts: 0, risks: BTreeMap::new(), value: None }
+    }
+}
+
+/// All queries that wait, and their parts.
+#[derive(Default)]
+pub(super) struct OpenQueries {
+    queries: HashMap<RequestId, Held>,
+    parts: HashMap<RequestId, HeldPart>,
+}
+
+impl OpenQueries {
+    /// Queries.
+    pub fn len(&self) -> usize {
+        self.queries.len()
+    }
+
+    /// Queries and parts together, which the limits bound.
+    pub fn size(&self) -> usize {
+        self.queries.len() + self.parts.len()
+    }
+
+    /// Whether a query of this label is open.
+    pub fn has_label(&self, label: &str) -> bool {
+        self.queries.values().any(|query| &*query.label == label)
+    }
+
+    /// Takes a query in.
+    pub fn insert(&mut self, id: RequestId, query: Held) {
+        self.queries.insert(id, query);
+    }
+
+    /// Takes a part in.
+    pub fn insert_part(&mut self, id: RequestId, part: HeldPart) {
+        self.parts.insert(id, part);
+    }
+
+    /// A part of a query that is open.
+    pub fn part(&mut self, id: RequestId) -> Option<&mut HeldPart> {
+        self.parts.get_mut(&id)
+    }
+
+    /// A part and its query, where both are open.
+    pub fn part_with_query(&mut self, id: RequestId) -> Option<(&mut HeldPart, &Held)> {
+        let part = self.parts.get_mut(&id)?;
+        let query = self.queries.get(&part.query)?;
+        Some((part, query))
+    }
+
+    /// Lets go of a query and its parts; `None` if it has ended before.
+    pub fn remove(&mut self, id: RequestId) -> Option<(Held, Vec<HeldPart>)> {
+        let query = self.queries.remove(&id)?;
+        let parts = query.parts.iter().filter_map(|part| self.parts.remove(part)).collect();
+        Some((query, parts))
+    }
+
+    /// When the next query is [overdue](OpenQueries::overdue).
+    pub fn next_overdue(&self, grace: Duration) -> Option<Time> {
+        self.queries.values().map(|query| query.valid_until.after(grace)).min()
+    }
+
+    /// The queries whose client has waited for its answer to the end, and then for `grace`.
+    pub fn overdue(&self, now: Time, grace: Duration) -> Vec<RequestId> {
+        let late = self.queries.iter().filter(|(_, query)| query.valid_until.after(grace) <= now);
+        late.map(|(id, _)| *id).collect()
+    }
+}
--- /dev/null
+++ b/src/routing/worker_states.rs
@@ -0,0 +1,38 @@
+//! How servers are seen, for the records: it remembers what was recorded of each, so that only changes are.
+
+use crate::api::*;
+use crate::records::line::WorkerState;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// The state in which each server was last recorded.
+#[derive(Default)]
+pub(super) struct WorkerStates(HashMap<LeafId, WorkerState>);
+
+impl WorkerStates {
+    /// The state of a listed server. `out` is whether it is out by hand, `warm_up` how long a start is held to be cold.
+    pub fn of(entry: &Entry, out: bool, now: Time, warm_up: Duration) -> WorkerState {
+        match entry.status {
+            Status::Gone => WorkerState::Gone,
+            Status::Draining if out => WorkerState::OutByHand,
+            Status::Draining => WorkerState::Draining,
+            Status::Active if entry.since.is_some_and(|since| now.since(since) < warm_up) => {
+                WorkerState::Cold
+            }
+            Status::Active => WorkerState::Active,
+        }
+    }
+
+    /// The recorded servers that are not listed any longer.
+    pub fn missing(&self, listed: impl Fn(LeafId) -> bool) -> Vec<LeafId> {
+        self.0.keys().copied().filter(|leaf| !listed(*leaf)).collect()
+    }
+
+    /// Books the state of a server; whether that is news. The end of one that was never recorded is none.
+    pub fn update(&mut self, leaf: LeafId, state: WorkerState) -> bool {
+        match state {
+            WorkerState::Gone => self.0.remove(&leaf).is_some(),
+            state => self.0.insert(leaf, state) != Some(state),
+        }
+    }
+}
