Split transport/workers.rs by job

Need: one file held a connection's queue of frames, the calls out on it, its reading and writing, and the pool that picks a connection. The connection (line.rs), its session on a socket (session.rs) and the pool stand apart now. No behaviour changes.

--- /dev/null
+++ b/src/transport/workers/line.rs
@@ -0,0 +1,295 @@
+//! One connection's calls: the frames that wait to be written, the parts that are out, and what is taken back unsent. It
+//! does no input or output; [`super::session`] carries what stands here.
+
+use crate::protocol::frame;
+use crate::routing::{Dispatch, Ticket};
+use crate::transport::places::Place;
+use bytes::{Buf, Bytes};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// For so long a frame of which a part is written may stick where nobody waits for any of its parts.
+const STUCK: Duration = Duration::from_millis(100);
+/// Ids answered or given up that a line remembers: what is heard of them again harms nothing.
+const MOST_PAST: usize = 256;
+
+/// One connection: what waits to be written, and the parts that are out on it.
+pub(super) struct Line {
+    /// Where the worker listens.
+    pub address: String,
+    frames: RefCell<VecDeque<Frame>>,
+    calls: RefCell<HashMap<String, Call>>,
+    /// Ids that were answered or given up, the latest last.
+    past: RefCell<VecDeque<String>>,
+    /// When anything was last read.
+    heard: Cell<Instant>,
+    /// It takes no new calls.
+    retired: Cell<bool>,
+    /// Wakes the session.
+    pub news: Notify,
+    /// Its descriptor, once it may have one; firm while anything is out on it.
+    pub place: RefCell<Option<Place>>,
+    /// When anything was last out on it.
+    pub used: Cell<Instant>,
+}
+
+struct Frame {
+    rest: Bytes,
+    begun: bool,
+    /// The parts that it carries; none for giving one up.
+    ids: Vec<String>,
+    /// When it is no longer to be written: a window has ended, or nobody waits for what is half written.
+    until: Option<Instant>,
+}
+
+impl Frame {
+    fn give_up(id: &str) -> Frame {
+        Frame { rest: frame::give_up(id), begun: false, ids: Vec::new(), until: None }
+    }
+
+    fn carries(&self, id: &str) -> bool {
+        self.ids.iter().any(|own| own == id)
+    }
+
+    /// Whether any of its parts is still waited for.
+    fn wanted(&self, calls: &HashMap<String, Call>) -> bool {
+        self.ids.iter().any(|id| calls.contains_key(id))
+    }
+}
+
+/// A part that is out.
+pub(super) struct Call {
+    /// Its attempt.
+    pub ticket: Ticket,
+    /// When the last byte of its frame was written.
+    pub written: Option<Instant>,
+    /// Nobody waits for what it brings.
+    withdrawn: bool,
+}
+
+impl Line {
+    /// A connection that is to be opened to this address.
+    pub fn new(address: &str) -> Line {
+        Line {
+            address: address.to_owned(),
+            frames: RefCell::default(),
+            calls: RefCell::default(),
+            past: RefCell::default(),
+            heard: Cell::new(Instant::now()),
+            retired: Cell::new(false),
+            news: Notify::new(),
+            place: RefCell::default(),
+            used: Cell::new(Instant::now()),
+        }
+    }
+
+    // ---- What it may take ----
+
+    /// Whether these parts may go on this line. Guards against taking a late answer to a part that was given up for
+    /// one to its further attempt, and against losing call after call, and the worker's good name, to a connection
+    /// that has fallen silent.
+    pub fn room(&self, parts: &[Dispatch], most: usize, silence: Duration) -> bool {
+        let (calls, past) = (self.calls.borrow(), self.past.borrow());
+        if calls.values().filter_map(|call| call.written).any(|at| self.silent_since(at, silence)) {
+            return false;
+        }
+        let new = || parts.iter().all(|part| !past.contains(&frame::part_id(&part.label, part.shard.0)));
+        !self.retired.get() && calls.len() + parts.len() <= most && new()
+    }
+
+    /// Whether nothing was read since then, which is as long ago as counts for silence.
+    fn silent_since(&self, at: Instant, silence: Duration) -> bool {
+        self.heard.get() <= at && at.elapsed() >= silence
+    }
+
+    /// Something was read.
+    pub fn heard(&self) {
+        self.heard.set(Instant::now());
+    }
+
+    /// Parts that are out.
+    pub fn calls(&self) -> usize {
+        self.calls.borrow().len()
+    }
+
+    /// Whether nothing is out, and nothing waits to be written.
+    pub fn quiet(&self) -> bool {
+        self.calls.borrow().is_empty() && self.frames.borrow().is_empty()
+    }
+
+    /// Whether it takes no new calls.
+    pub fn retired(&self) -> bool {
+        self.retired.get()
+    }
+
+    /// Gives it no new calls; it ends once nothing is out on it.
+    pub fn retire(&self) {
+        self.retired.set(true);
+        self.news.notify_one();
+    }
+
+    /// Whether it could be closed in favour of another.
+    pub fn idle(&self) -> bool {
+        self.quiet() && !self.retired.get() && self.place.borrow().is_some()
+    }
+
+    /// Holds its place firmly while anything is out, and loosely else.
+    pub fn hold(&self) {
+        if let Some(place) = &*self.place.borrow() {
+            if self.quiet() {
+                place.unpin();
+            } else {
+                place.pin();
+            }
+        }
+    }
+
+    // ---- What is to be written ----
+
+    /// Queues these parts as one frame.
+    pub fn push(&self, parts: &[Dispatch]) {
+        let mut calls = self.calls.borrow_mut();
+        let mut ids = Vec::with_capacity(parts.len());
+        let until = parts.iter().filter_map(|part| part.window).min().map(|window| Instant::now() + window);
+        for part in parts {
+            let id = frame::part_id(&part.label, part.shard.0);
+            calls.insert(id.clone(), Call { ticket: part.ticket, written: None, withdrawn: false });
+            ids.push(id);
+        }
+        drop(calls);
+        self.frames.borrow_mut().push_back(Frame { rest: frame::call(parts), begun: false, ids, until });
+        self.hold();
+        self.news.notify_one();
+    }
+
+    /// What is to be written next.
+    pub fn front(&self) -> Option<Bytes> {
+        self.frames.borrow().front().map(|frame| frame.rest.clone())
+    }
+
+    /// When what is to be written next no longer is.
+    pub fn until(&self) -> Option<Instant> {
+        self.frames.borrow().front().and_then(|frame| frame.until)
+    }
+
+    /// Books that so many bytes of the front frame are written; how many parts have been written whole by that.
+    pub fn wrote(&self, count: usize) -> usize {
+        let mut frames = self.frames.borrow_mut();
+        let Some(frame) = frames.front_mut() else { return 0 };
+        frame.rest.advance(count);
+        frame.begun |= count > 0;
+        if !frame.rest.is_empty() {
+            return 0;
+        }
+        let Some(frame) = frames.pop_front() else { return 0 };
+        let mut calls = self.calls.borrow_mut();
+        for id in &frame.ids {
+            if let Some(call) = calls.get_mut(id) {
+                call.written = Some(Instant::now());
+            }
+        }
+        frame.ids.len()
+    }
+
+    // ---- What ends ----
+
+    /// An answer has come: the part that waited for it, if one did.
+    pub fn answered(&self, id: &str) -> Option<Call> {
+        let (id, call) = self.calls.borrow_mut().remove_entry(id)?;
+        self.remember(id);
+        Some(call)
+    }
+
+    /// Whether this part was answered or given up before.
+    pub fn is_past(&self, id: &str) -> bool {
+        self.past.borrow().iter().any(|past| past == id)
+    }
+
+    fn remember(&self, id: String) {
+        let mut past = self.past.borrow_mut();
+        if past.len() >= MOST_PAST {
+            past.pop_front();
+        }
+        past.push_back(id);
+    }
+
+    /// All parts that are out, when the connection has ended.
+    pub fn take_calls(&self) -> Vec<Call> {
+        self.calls.take().into_values().collect()
+    }
+
+    /// Lets go of an attempt; false if it is not on this line. A call of which no byte is written stays here,
+    /// of another the worker is told, where that is allowed.
+    pub fn abandon(&self, ticket: Ticket, silence: Duration, tell: bool) -> bool {
+        let Some((id, call)) = self.remove(ticket) else { return false };
+        if !self.drop_unsent(&id) {
+            self.bound_half_written(&id);
+            self.remember(id.clone());
+            if tell {
+                self.frames.borrow_mut().push_back(Frame::give_up(&id));
+            }
+        }
+        // Guards against machines that vanished: their connections stay open, and swallow what is written.
+        if call.written.is_some_and(|at| self.silent_since(at, silence)) {
+            self.retire();
+        }
+        self.news.notify_one();
+        true
+    }
+
+    fn remove(&self, ticket: Ticket) -> Option<(String, Call)> {
+        let mut calls = self.calls.borrow_mut();
+        let id = calls.iter().find(|(_, call)| call.ticket == ticket).map(|(id, _)| id.clone())?;
+        calls.remove_entry(&id)
+    }
+
+    /// Drops the frame of this part, if no byte of it is written and nobody waits for any of its parts; whether it did.
+    fn drop_unsent(&self, id: &str) -> bool {
+        let (calls, mut frames) = (self.calls.borrow(), self.frames.borrow_mut());
+        let before = frames.len();
+        frames.retain(|frame| frame.begun || !frame.carries(id) || frame.wanted(&calls));
+        frames.len() < before
+    }
+
+    /// Guards against a part that runs long after its client has left: what is written of its frame sticks in a full
+    /// connection, and the rest would follow whenever the worker reads on.
+    fn bound_half_written(&self, id: &str) {
+        let (calls, mut frames) = (self.calls.borrow(), self.frames.borrow_mut());
+        let Some(frame) = frames.front_mut() else { return };
+        if frame.begun && frame.carries(id) && !frame.wanted(&calls) {
+            let stuck = Instant::now() + STUCK;
+            frame.until = Some(frame.until.map_or(stuck, |until| until.min(stuck)));
+        }
+    }
+
+    /// Takes back the calls of which no byte has been written.
+    pub fn unsent(&self) -> Vec<Ticket> {
+        self.take_back(|_| true)
+    }
+
+    /// Takes back what no byte of has been written and nobody waits for: all calls of a frame, or none of them.
+    pub fn withdraw(&self, ticket: Ticket) -> Vec<Ticket> {
+        let mut calls = self.calls.borrow_mut();
+        let Some(call) = calls.values_mut().find(|call| call.ticket == ticket) else { return Vec::new() };
+        call.withdrawn = true;
+        drop(calls);
+        self.take_back(|call| call.withdrawn)
+    }
+
+    fn take_back(&self, may: impl Fn(&Call) -> bool) -> Vec<Ticket> {
+        let mut calls = self.calls.borrow_mut();
+        let mut tickets = Vec::new();
+        self.frames.borrow_mut().retain(|frame| {
+            let stays = |id: &String| calls.get(id).is_some_and(|call| !may(call));
+            if frame.begun || frame.ids.is_empty() || frame.ids.iter().any(stays) {
+                return true;
+            }
+            tickets.extend(frame.ids.iter().filter_map(|id| calls.remove(id)).map(|call| call.ticket));
+            false
+        });
+        tickets
+    }
+}
