--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -6,9 +6,13 @@
 pub mod claim;
 pub mod news;
 pub mod node;
+pub mod order;
 pub mod table;
+pub mod timing;
 
 pub use census::Census;
 pub use claim::{Claim, Kind, Message, Standing};
-pub use node::{Knock, Node, Order, Timing};
+pub use node::Node;
+pub use order::{Knock, Order};
 pub use table::{Change, Link, Seen, State, Table};
+pub use timing::Timing;
