Give the program one error type of a failed command

Need: main.rs and program/run.rs each had an error type of a start, one wrapped in the other, and the exit status was chosen by looking through both.

Change: program/failure.rs has the one type, and says its exit status. Texts and statuses are the same.

--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 
 use clap::{Parser, Subcommand};
 use clayshore::program::config::{Config, Error};
+use clayshore::program::failure::Failure;
 use clayshore::program::opensearch_file::FrontFile;
 use clayshore::program::operator::Operator;
 use clayshore::program::{inspect, log, members, run};
@@ -84,18 +85,6 @@
     Schema,
 }
 
-#[derive(Debug, thiserror::Error)]
-enum Failure {
-    #[error(transparent)]
-    Configuration(#[from] Error),
-    #[error(transparent)]
-    Serving(#[from] run::Failure),
-    #[error(transparent)]
-    System(#[from] std::io::Error),
-    #[error("{0} lines do not count")]
-    Damaged(u64),
-}
-
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     log::install(::log::LevelFilter::Info);
@@ -104,11 +93,7 @@
         Err(failure) => {
             // Not by the log: a configuration's fault is shown over several lines, with the place.
             eprintln!("ERROR {failure}");
-            let configuration = matches!(
-                failure,
-                Failure::Configuration(_) | Failure::Serving(run::Failure::Configuration(_))
-            );
-            ExitCode::from(if configuration { 2 } else { 1 })
+            ExitCode::from(failure.exit_status())
         }
     }
 }
@@ -157,8 +142,8 @@
     if let Some(path) = file {
         let seed = fastrand::u64(..);
         let read = move || FrontFile::read(&path, seed);
-        return Ok(run::opensearch(seed, operator, read)?);
+        return run::opensearch(seed, operator, read);
     }
     let read = || Config::from_platform(|name| std::env::var(name).ok());
-    Ok(run::platform(operator, read)?)
+    run::platform(operator, read)
 }
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -1,6 +1,7 @@
 //! The program round the layers: configuration, start, end and log.
 
 pub mod config;
+pub mod failure;
 pub mod inspect;
 pub mod log;
 pub mod members;
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -1,6 +1,7 @@
 //! Start and end of the process.
 
 use super::config::{Config, Error};
+use super::failure::Failure;
 use super::members;
 use super::opensearch_file::FrontFile;
 use super::operator::Operator;
@@ -43,17 +44,6 @@
 /// Time past the longest deadline after which the end no longer waits for a client to read its answer.
 const SLACK: Duration = Duration::from_millis(300);
 
-/// Why a front does not serve, or ended.
-#[derive(Debug, thiserror::Error)]
-pub enum Failure {
-    /// Its configuration cannot be used.
-    #[error(transparent)]
-    Configuration(#[from] Error),
-    /// The system refused what it needs.
-    #[error(transparent)]
-    System(#[from] io::Error),
-}
-
 /// The signals that a front obeys, from before it reads its configuration. Guards a process that has just started: until
 /// they are heard, SIGHUP ends it like a crash, and SIGTERM leaves those who connected by then without an answer.
 fn signals() -> io::Result<(Signal, Stop)> {
