Rename what routing/core.rs held by the field's names

Need: the glossary: leaf and server are the worker, what runs once is at most once; held queries and flights are open queries and sent attempts.

Change: names and comments in the files that core.rs was split into, the fields of Order, the arguments of Carrier, and Dispatch's at_most_once. What the decision module defines keeps its names. Three tests follow Order's field; what they check is the same.

--- a/src/routing/attempt.rs
+++ b/src/routing/attempt.rs
@@ -29,7 +29,7 @@
     /// How long it will be waited for.
     pub timeout: Duration,
     /// It may not run a second time: what spoils the answers of others is not to spoil its own.
-    pub once: bool,
+    pub at_most_once: bool,
     /// For so long the last byte of its frame may be written; `None` where any time will do. It is a further attempt of
     /// a part whose repeats are dropped only for a while after the first that may have run.
     pub window: Option<Duration>,
@@ -42,7 +42,7 @@
     pub outcome: Outcome,
     /// The value, with [`Outcome::Done`].
     pub value: Bytes,
-    /// The server's load, in the order of the settings' fields.
+    /// The worker's load, in the order of the settings' fields.
     pub report: Option<Report>,
 }
 
--- a/src/routing/broker.rs
+++ b/src/routing/broker.rs
@@ -40,19 +40,19 @@
     }
 }
 
-/// Carries attempts to servers. Their ends come back through [`Broker::ended`].
+/// Carries attempts to workers. Their ends come back through [`Broker::ended`].
 pub trait Carrier {
-    /// A server is listed: its address, and whether it may be sent anything new.
-    fn member(&self, leaf: LeafId, name: &str, address: &str, open: bool);
-    /// A server is no longer listed.
-    fn gone(&self, leaf: LeafId);
+    /// A worker is listed: its address, and whether it may be sent anything new.
+    fn member(&self, worker: LeafId, name: &str, address: &str, open: bool);
+    /// A worker is no longer listed.
+    fn gone(&self, worker: LeafId);
     /// Carry these attempts as one call.
-    fn call(&self, leaf: LeafId, parts: Vec<Dispatch>);
+    fn call(&self, worker: LeafId, parts: Vec<Dispatch>);
     /// Nobody waits for this attempt any longer.
-    fn abandon(&self, leaf: LeafId, ticket: Ticket);
+    fn abandon(&self, worker: LeafId, ticket: Ticket);
     /// What this attempt brings is of no use, but it may not be called off: it is not to be sent, if nothing of it is sent
     /// yet. A carrier whose attempts may always be called off never hears this.
-    fn withdraw(&self, _leaf: LeafId, _ticket: Ticket) {}
+    fn withdraw(&self, _worker: LeafId, _ticket: Ticket) {}
 }
 
 struct Inner {
@@ -120,18 +120,18 @@
         self.0.news.notify_one();
     }
 
-    /// An operator takes a server out by hand, or back; false if no list ever named it.
-    pub fn by_hand(&self, server: &str, out: bool) -> bool {
+    /// An operator takes a worker out by hand, or back; false if no list ever named it.
+    pub fn by_hand(&self, worker: &str, out: bool) -> bool {
         let now = self.0.clock.now();
-        let known = self.core(|core| if out { core.disable(now, server) } else { core.enable(now, server) });
+        let known = self.core(|core| if out { core.disable(now, worker) } else { core.enable(now, worker) });
         self.0.news.notify_one();
         known
     }
 
-    /// The same, as another process of this gatherer was told it, which knew the server.
-    pub fn by_hand_too(&self, server: &str, out: bool) {
-        self.core(|core| core.know(server));
-        self.by_hand(server, out);
+    /// The same, as another process of this gatherer was told it, which knew the worker.
+    pub fn by_hand_too(&self, worker: &str, out: bool) {
+        self.core(|core| core.know(worker));
+        self.by_hand(worker, out);
     }
 
     /// Runs turns for as long as the process lives. Whatever tasks report while one is due goes into it together.
@@ -154,12 +154,12 @@
 
     fn deliver(&self, order: Order, carrier: &dyn Carrier) {
         match order {
-            Order::Member { leaf, name, address, open } => carrier.member(leaf, &name, &address, open),
-            Order::Gone { leaf } => carrier.gone(leaf),
-            Order::Call { leaf, parts } if parts.is_empty() => log::debug!("empty call to {}", leaf.0),
-            Order::Call { leaf, parts } => carrier.call(leaf, parts),
-            Order::Abandon { leaf, ticket } => carrier.abandon(leaf, ticket),
-            Order::Withdraw { leaf, ticket } => carrier.withdraw(leaf, ticket),
+            Order::Member { worker, name, address, open } => carrier.member(worker, &name, &address, open),
+            Order::Gone { worker } => carrier.gone(worker),
+            Order::Call { worker, parts } if parts.is_empty() => log::debug!("empty call to {}", worker.0),
+            Order::Call { worker, parts } => carrier.call(worker, parts),
+            Order::Abandon { worker, ticket } => carrier.abandon(worker, ticket),
+            Order::Withdraw { worker, ticket } => carrier.withdraw(worker, ticket),
             Order::Settle { query, verdict } => {
                 let waiting = self.0.waiting.borrow_mut().remove(&query);
                 if let Some(tell) = waiting {
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -1,17 +1,17 @@
 //! The life of queries without any input or output: events go in, orders come out, time is handed in.
 //!
-//! [`Core`] joins the parts: the queries that are open, the attempts in flight, the list of servers, the counts, and the
-//! module that decides. What comes in is taken here and in `core/servers.rs`; `core/turn.rs` hands it to the module and
+//! [`Core`] joins the parts: the queries that are open, the attempts in flight, the list of workers, the counts, and the
+//! module that decides. What comes in is taken here and in `core/workers.rs`; `core/turn.rs` hands it to the module and
 //! carries out what that decides.
 
-mod servers;
 mod turn;
+mod workers;
 
 use super::attempt::{End, Ticket};
 use super::contracts::Contracts;
 use super::counters::{ClassEnds, Counters, Ends, outcome_name};
-use super::in_flight::{Flight, InFlight};
-use super::open_queries::{Held, HeldPart, OpenQueries};
+use super::in_flight::{InFlight, SentAttempt};
+use super::open_queries::{OpenPart, OpenQueries, OpenQuery};
 use super::order::Order;
 use super::query::{Ask, AskPart, Refusal, Verdict};
 use super::worker_list::WorkerList;
@@ -27,47 +27,48 @@
 pub struct Core {
     contracts: Contracts,
     module: Aggregator,
-    /// What has happened since the last turn, and what is to be done beside what the module decides.
-    inbox: Vec<Event>,
+    /// What has happened since the last turn, for the module.
+    events: Vec<Event>,
+    /// What is to be done beside what the module decides.
     orders: Vec<Order>,
     timers: BTreeMap<(Time, u64), Handle>,
     open: OpenQueries,
     in_flight: InFlight,
-    servers: WorkerList,
+    workers: WorkerList,
     /// The last number that was given to a query, a part or a timer.
     last_number: u64,
     /// Processes of this gatherer, which share its limits.
     processes: u32,
     /// Discovery itself has told a list.
-    told_list: bool,
+    heard_discovery: bool,
     /// What it has counted so far.
     pub counters: Counters,
     /// How the queries of each class ended.
     ends: ClassEnds,
-    /// The same by class, tenant and server, for the records; `None` where there are none.
+    /// The same by class, tenant and worker, for the records; `None` where there are none.
     pub figures: Option<Figures>,
     /// What has changed since it was last read, for the records; nothing where there are none.
     pub news: Vec<Body>,
-    /// How each listed server was last told of.
+    /// How each listed worker was last told of.
     states: WorkerStates,
 }
 
 impl Core {
-    /// A broker that knows no servers yet.
+    /// A broker that knows no workers yet.
     pub fn new(contracts: Contracts) -> Core {
         Core {
             module: Aggregator::new(contracts.settings.clone()),
             ends: ClassEnds::new(contracts.classes.len()),
             contracts,
-            inbox: Vec::new(),
+            events: Vec::new(),
             orders: Vec::new(),
             timers: BTreeMap::new(),
             open: OpenQueries::default(),
             in_flight: InFlight::default(),
-            servers: WorkerList::default(),
+            workers: WorkerList::default(),
             last_number: 1,
             processes: 1,
-            told_list: false,
+            heard_discovery: false,
             counters: Counters::default(),
             figures: None,
             news: Vec::new(),
@@ -110,11 +111,11 @@
         }
         if self.is_full() {
             self.counters.refused_full += 1;
-            self.note(seen, figures::End::RefusedFull, Duration::ZERO);
+            self.count_end(seen, figures::End::RefusedFull, Duration::ZERO);
             let pause = self.contracts.settings.longest_pause;
             return Err(Verdict::Refused { why: Refusal::Full, pause });
         }
-        Ok(self.take_in(now, seen, ask))
+        Ok(self.open_query(now, seen, ask))
     }
 
     /// Whether as many queries and parts are open as this process may hold.
@@ -123,28 +124,28 @@
     }
 
     /// Opens a query and its parts, and tells the module of them.
-    fn take_in(&mut self, now: Time, seen: Seen, ask: Ask) -> RequestId {
+    fn open_query(&mut self, now: Time, seen: Seen, ask: Ask) -> RequestId {
         let number = self.number();
         let (id, job) = (RequestId(number), JobId(number));
         let valid_until = now.after(ask.left);
         let (class, tenant, retry) = (ask.class, ask.tenant, ask.retry);
-        self.inbox.push(Event::Query(NewQuery { id, class, tenant, valid_until, job, retry }));
+        self.events.push(Event::Query(NewQuery { id, class, tenant, valid_until, job, retry }));
         let mut parts = Vec::with_capacity(ask.parts.len());
         for part in ask.parts {
-            parts.push(self.take_in_part(id, job, part));
+            parts.push(self.open_part(id, job, part));
         }
         let class = self.contracts.settings.classes.get(seen.class);
-        let once = class.is_none_or(|class| class.effect != Effect::Repeatable);
+        let at_most_once = class.is_none_or(|class| class.effect != Effect::Repeatable);
         let (label, text) = (ask.label, ask.text);
-        self.open.insert(id, Held { label, text, once, valid_until, parts, seen, taken: now });
+        self.open.insert(id, OpenQuery { label, text, at_most_once, valid_until, parts, seen, taken: now });
         id
     }
 
-    fn take_in_part(&mut self, query: RequestId, job: JobId, part: AskPart) -> RequestId {
+    fn open_part(&mut self, query: RequestId, job: JobId, part: AskPart) -> RequestId {
         let id = RequestId(self.number());
         let AskPart { shard, weight, hint, key } = part;
-        self.inbox.push(Event::Part(NewPart { id, key, hint, job, shard, weight }));
-        self.open.insert_part(id, HeldPart::new(query, shard));
+        self.events.push(Event::Part(NewPart { id, key, hint, job, shard, weight }));
+        self.open.insert_part(id, OpenPart::new(query, shard));
         id
     }
 
@@ -152,8 +153,8 @@
     pub fn client_left(&mut self, now: Time, id: RequestId) {
         if let Some((query, _)) = self.close(id) {
             self.counters.left += 1;
-            self.note(query.seen, figures::End::Left, now.since(query.taken));
-            self.inbox.push(Event::ClientLeft { id });
+            self.count_end(query.seen, figures::End::Left, now.since(query.taken));
+            self.events.push(Event::ClientLeft { id });
         }
     }
 
@@ -162,7 +163,7 @@
         self.counters.refused_stopping += 1;
         let seen = Seen { class: class.0, tenant: tenant.map(|tenant| tenant.0) };
         self.ends.came(seen.class);
-        self.note(seen, figures::End::RefusedStopping, Duration::ZERO);
+        self.count_end(seen, figures::End::RefusedStopping, Duration::ZERO);
     }
 
     /// A query came for which there was no firm place; it was turned away unread.
@@ -171,42 +172,42 @@
         self.ends.ended(class.0, figures::End::RefusedFull);
     }
 
-    /// So many attempts have been written to their server, to the last byte.
+    /// So many attempts have been written to their worker, to the last byte.
     pub fn written(&mut self, attempts: usize) {
         self.counters.written += attempts as u64;
     }
 
     /// An attempt has ended. One that was timed out or called off before is not heard again.
     pub fn ended(&mut self, now: Time, ticket: Ticket, end: End) {
-        let Some(flight) = self.in_flight.remove(ticket) else { return };
-        self.book(now, ticket, &flight, end);
+        let Some(sent) = self.in_flight.remove(ticket) else { return };
+        self.attempt_ended(now, ticket, &sent, end);
     }
 
     /// Books the end of an attempt that is no longer in flight, and tells the module of it.
-    fn book(&mut self, now: Time, ticket: Ticket, flight: &Flight, end: End) {
+    fn attempt_ended(&mut self, now: Time, ticket: Ticket, sent: &SentAttempt, end: End) {
         let End { outcome, value, report } = end;
-        let elapsed = now.since(flight.sent);
+        let elapsed = now.since(sent.at);
         self.counters.ended(outcome);
         if let Some(figures) = &mut self.figures {
-            let name = self.servers.roster.name(flight.leaf).unwrap_or_default();
+            let name = self.workers.roster.name(sent.worker).unwrap_or_default();
             figures.attempt(name, outcome_name(outcome), elapsed);
         }
         let part = self.open.part(ticket.part);
         let over = outcome == Outcome::Done || part.is_none();
         if let Some(part) = part {
             if outcome.proves_unrun() {
-                part.risks.remove(&ticket.attempt);
+                part.possible_runs.remove(&ticket.attempt);
             }
             if outcome == Outcome::Done {
                 part.value.get_or_insert(value);
             }
         }
-        let (id, attempt, leaf) = (ticket.part, ticket.attempt, flight.leaf);
-        self.inbox.push(Event::Ended(AttemptEnd { id, attempt, leaf, outcome, elapsed, over, report }));
+        let (id, attempt, leaf) = (ticket.part, ticket.attempt, sent.worker);
+        self.events.push(Event::Ended(AttemptEnd { id, attempt, leaf, outcome, elapsed, over, report }));
     }
 
     /// Counts the end of a query.
-    fn note(&mut self, seen: Seen, end: figures::End, took: Duration) {
+    fn count_end(&mut self, seen: Seen, end: figures::End, took: Duration) {
         self.ends.ended(seen.class, end);
         if let Some(figures) = &mut self.figures {
             figures.ended(seen, end, took);
@@ -214,16 +215,13 @@
     }
 
     /// Ends a query here; `None` if it has ended before. Its parts go with it.
-    fn close(&mut self, id: RequestId) -> Option<(Held, Vec<HeldPart>)> {
+    fn close(&mut self, id: RequestId) -> Option<(OpenQuery, Vec<OpenPart>)> {
         let (query, parts) = self.open.remove(id)?;
         if !self.contracts.settings.may_cancel {
             // Guards against sending on for a client that has gone, where the module may not call an attempt off.
             let out = query.parts.iter().flat_map(|part| self.in_flight.of_part(*part));
-            let withdraw = |(ticket, flight): (&Ticket, &Flight)| {
-                let (leaf, ticket) = (flight.leaf, *ticket);
-                Order::Withdraw { leaf, ticket }
-            };
-            self.orders.extend(out.map(withdraw));
+            let withdraw = out.map(|(ticket, sent)| Order::Withdraw { worker: sent.worker, ticket: *ticket });
+            self.orders.extend(withdraw);
         }
         Some((query, parts))
     }
--- a/src/routing/core/turn.rs
+++ b/src/routing/core/turn.rs
@@ -4,21 +4,21 @@
 use crate::api::*;
 use crate::records::figures;
 use crate::routing::attempt::{Dispatch, End, Ticket};
-use crate::routing::in_flight::Flight;
-use crate::routing::open_queries::{Held, HeldPart};
+use crate::routing::in_flight::SentAttempt;
+use crate::routing::open_queries::{OpenPart, OpenQuery};
 use crate::routing::order::Order;
 use crate::routing::query::{Refusal, Verdict};
 use std::time::Duration;
 
-/// The attempts that one turn sends, by server.
+/// The attempts that one turn sends, by worker.
 #[derive(Default)]
 struct Calls(Vec<(LeafId, Vec<Dispatch>)>);
 
 impl Calls {
-    fn add(&mut self, leaf: LeafId, dispatch: Dispatch) {
-        match self.0.iter_mut().find(|(to, _)| *to == leaf) {
+    fn add(&mut self, worker: LeafId, dispatch: Dispatch) {
+        match self.0.iter_mut().find(|(to, _)| *to == worker) {
             Some((_, parts)) => parts.push(dispatch),
-            None => self.0.push((leaf, vec![dispatch])),
+            None => self.0.push((worker, vec![dispatch])),
         }
     }
 
@@ -30,8 +30,8 @@
     /// Calls of at most `most` parts each.
     fn into_orders(self, most: usize) -> Vec<Order> {
         let mut orders = Vec::new();
-        for (leaf, parts) in self.0 {
-            let calls = parts.chunks(most).map(|parts| Order::Call { leaf, parts: parts.to_vec() });
+        for (worker, parts) in self.0 {
+            let calls = parts.chunks(most).map(|parts| Order::Call { worker, parts: parts.to_vec() });
             orders.extend(calls);
         }
         orders
@@ -41,7 +41,7 @@
 impl Core {
     /// When [`Core::turn`] is next to be called, if nothing happens before.
     pub fn next_due(&self, now: Time) -> Option<Time> {
-        if !self.inbox.is_empty() || !self.orders.is_empty() {
+        if !self.events.is_empty() || !self.orders.is_empty() {
             return Some(now);
         }
         let timers = self.timers.keys().next().map(|(at, _)| *at);
@@ -60,8 +60,8 @@
         self.fire_timers(now);
         self.time_out_attempts(now);
         let mut actions = Vec::new();
-        if !self.inbox.is_empty() {
-            self.module.turn(now, self.inbox.drain(..), &mut actions);
+        if !self.events.is_empty() {
+            self.module.turn(now, self.events.drain(..), &mut actions);
         }
         let mut calls = Calls::default();
         for action in actions {
@@ -76,21 +76,21 @@
     fn fire_timers(&mut self, now: Time) {
         while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= now) {
             let handle = entry.remove();
-            self.inbox.push(Event::Due { handle });
+            self.events.push(Event::Due { handle });
         }
     }
 
     fn time_out_attempts(&mut self, now: Time) {
-        for (ticket, flight) in self.in_flight.take_expired(now) {
-            self.orders.push(Order::Abandon { leaf: flight.leaf, ticket });
-            self.book(now, ticket, &flight, End::bare(Outcome::TimedOut));
+        for (ticket, sent) in self.in_flight.take_expired(now) {
+            self.orders.push(Order::Abandon { worker: sent.worker, ticket });
+            self.attempt_ended(now, ticket, &sent, End::bare(Outcome::TimedOut));
         }
     }
 
     /// Guards against a query that the module lets run past its client's time: it is failed, not lost.
     fn fail_overdue(&mut self, now: Time) {
         for query in self.open.overdue(now, self.overdue_grace()) {
-            self.inbox.push(Event::ClientLeft { id: query });
+            self.events.push(Event::ClientLeft { id: query });
             self.orders.push(Order::Trace(format!("query {} ran past its time", query.0)));
             self.settle(now, query, figures::End::FailedOverdue, |_| Verdict::Failed);
         }
@@ -118,27 +118,35 @@
         }
     }
 
-    fn send(&mut self, now: Time, id: RequestId, leaf: LeafId, timeout: Duration, calls: &mut Calls) {
+    fn send(&mut self, now: Time, id: RequestId, worker: LeafId, timeout: Duration, calls: &mut Calls) {
         let Some((part, query)) = self.open.part_with_query(id) else { return };
         let ticket = Ticket { part: id, attempt: AttemptNo(part.attempts) };
         part.attempts += 1;
         self.counters.sent += 1;
         self.counters.resent += u64::from(ticket.attempt.0 > 0);
         let timeout = timeout.min(query.valid_until.since(now));
-        self.in_flight.insert(ticket, Flight { leaf, sent: now, deadline: now.after(timeout) });
+        self.in_flight.insert(ticket, SentAttempt { worker, at: now, deadline: now.after(timeout) });
         let class = self.contracts.settings.classes.get(query.seen.class);
         let window = class.and_then(|class| window_left(now, class, part));
-        part.risks.insert(ticket.attempt, now);
+        part.possible_runs.insert(ticket.attempt, now);
         let (label, text) = (query.label.clone(), query.text.clone());
-        let dispatch = Dispatch { ticket, label, shard: part.shard, text, timeout, once: query.once, window };
-        calls.add(leaf, dispatch);
+        let dispatch = Dispatch {
+            ticket,
+            label,
+            shard: part.shard,
+            text,
+            timeout,
+            at_most_once: query.at_most_once,
+            window,
+        };
+        calls.add(worker, dispatch);
     }
 
     fn cancel(&mut self, now: Time, ticket: Ticket, calls: &mut Calls) {
-        let Some(flight) = self.in_flight.remove(ticket) else { return };
+        let Some(sent) = self.in_flight.remove(ticket) else { return };
         calls.remove(ticket);
-        self.orders.push(Order::Abandon { leaf: flight.leaf, ticket });
-        self.book(now, ticket, &flight, End::bare(Outcome::Cancelled));
+        self.orders.push(Order::Abandon { worker: sent.worker, ticket });
+        self.attempt_ended(now, ticket, &sent, End::bare(Outcome::Cancelled));
     }
 
     fn answer(&mut self, now: Time, query: RequestId, whole: bool) {
@@ -155,13 +163,13 @@
         now: Time,
         query: RequestId,
         end: figures::End,
-        verdict: impl FnOnce(Vec<HeldPart>) -> Verdict,
+        verdict: impl FnOnce(Vec<OpenPart>) -> Verdict,
     ) {
-        let Some((held, parts)) = self.close(query) else { return };
+        let Some((open, parts)) = self.close(query) else { return };
         let verdict = verdict(parts);
-        let took = now.since(held.taken);
-        let late = end == figures::End::WholeInTime && self.is_late(&held, took);
-        self.note(held.seen, if late { figures::End::WholeLate } else { end }, took);
+        let took = now.since(open.taken);
+        let late = end == figures::End::WholeInTime && self.is_late(&open, took);
+        self.count_end(open.seen, if late { figures::End::WholeLate } else { end }, took);
         *match &verdict {
             Verdict::Answered { whole: true, .. } => &mut self.counters.answered_whole,
             Verdict::Answered { whole: false, .. } => &mut self.counters.answered_part,
@@ -172,15 +180,15 @@
     }
 
     /// Whether an answer after so much time is later than its class wants.
-    fn is_late(&self, query: &Held, took: Duration) -> bool {
+    fn is_late(&self, query: &OpenQuery, took: Duration) -> bool {
         let class = self.contracts.settings.classes.get(query.seen.class);
         class.is_some_and(|class| took > class.aim)
     }
 }
 
 /// For so long a further attempt of this part may still be written, where its class bounds that. Guards against a repeat
-/// that waits for its connection until servers no longer drop it.
-fn window_left(now: Time, class: &Class, part: &HeldPart) -> Option<Duration> {
-    let first = part.risks.values().min().filter(|_| class.effect == Effect::ByKey)?;
+/// that waits for its connection until workers no longer drop it.
+fn window_left(now: Time, class: &Class, part: &OpenPart) -> Option<Duration> {
+    let first = part.possible_runs.values().min().filter(|_| class.effect == Effect::ByKey)?;
     Some(class.window.saturating_sub(now.since(*first)))
 }
--- a/src/routing/core/servers.rs
+++ b/src/routing/core/workers.rs
@@ -1,4 +1,4 @@
-//! What the core hears of servers and of other gatherers: discovery's lists, operators' calls, load reports, what another
+//! What the core hears of workers and of other gatherers: discovery's lists, operators' calls, load reports, what another
 //! process of this gatherer knew; and what the records are told of it.
 
 use super::Core;
@@ -13,51 +13,51 @@
 use std::time::Duration;
 
 impl Core {
-    /// Whether it knows of any server.
+    /// Whether it knows of any worker.
     pub fn ready(&self) -> bool {
-        self.servers.len() > 0
+        self.workers.len() > 0
     }
 
-    /// Servers in the list.
+    /// Workers in the list.
     pub fn listed(&self) -> usize {
-        self.servers.len()
+        self.workers.len()
     }
 
-    /// Listed servers that are out by hand, or get nothing but trials.
+    /// Listed workers that are out by hand, or get nothing but trials.
     pub fn avoided(&self) -> usize {
-        let suspects = self.module.suspects().filter(|leaf| self.servers.contains(*leaf));
-        self.servers.count_out() + suspects.count()
+        let suspects = self.module.suspects().filter(|worker| self.workers.contains(*worker));
+        self.workers.count_out() + suspects.count()
     }
 
-    /// The name of a server that was ever listed.
-    pub fn name(&self, leaf: LeafId) -> Option<&str> {
-        self.servers.roster.name(leaf)
+    /// The name of a worker that was ever listed.
+    pub fn name(&self, worker: LeafId) -> Option<&str> {
+        self.workers.roster.name(worker)
     }
 
     /// The list as discovery last told it.
     pub fn list_told(&self) -> Listing {
-        self.servers.listing()
+        self.workers.listing()
     }
 
     /// Whether discovery itself has told a list.
     pub fn told(&self) -> bool {
-        self.told_list
+        self.heard_discovery
     }
 
     /// Who is out by hand.
     pub fn bans(&self) -> &Bans {
-        &self.servers.bans
+        &self.workers.bans
     }
 
     /// News from discovery; `cached` for the list as last held.
     pub fn learn(&mut self, now: Time, listing: &Listing, cached: bool) {
         self.counters.listings += 1;
-        self.told_list |= !cached;
-        let (entries, orders) = self.servers.take(&self.contracts, listing);
+        self.heard_discovery |= !cached;
+        let (entries, orders) = self.workers.take(&self.contracts, listing);
         self.orders.extend(orders);
         self.record_list(now, listing, &entries);
-        self.servers.forget_gone(&self.in_flight);
-        self.inbox.push(Event::Membership(match (cached, listing.complete) {
+        self.workers.forget_gone(&self.in_flight);
+        self.events.push(Event::Membership(match (cached, listing.complete) {
             (true, _) => Membership::Cached(entries.into()),
             (false, true) => Membership::Full(entries.into()),
             (false, false) => Membership::Delta(entries.into()),
@@ -65,36 +65,36 @@
     }
 
     /// A load report that came by itself, not with an answer.
-    pub fn load_report(&mut self, server: &str, report: Report) -> bool {
-        let Some(leaf) = self.servers.roster.known(server) else { return false };
+    pub fn load_report(&mut self, worker: &str, report: Report) -> bool {
+        let Some(leaf) = self.workers.roster.known(worker) else { return false };
         let (outcome, elapsed) = (Outcome::Done, Duration::ZERO);
-        self.inbox.push(Event::Probed { leaf, outcome, elapsed, report: Some(report) });
+        self.events.push(Event::Probed { leaf, outcome, elapsed, report: Some(report) });
         true
     }
 
-    /// Takes a server out by hand until [`Core::enable`], whatever the list says meanwhile; false if no list ever named
+    /// Takes a worker out by hand until [`Core::enable`], whatever the list says meanwhile; false if no list ever named
     /// it, and then nothing changes.
     pub fn disable(&mut self, now: Time, name: &str) -> bool {
         self.by_hand(now, name, |bans| bans.disable(name))
     }
 
-    /// Takes a server back that was taken out by hand; false if no list ever named it.
+    /// Takes a worker back that was taken out by hand; false if no list ever named it.
     pub fn enable(&mut self, now: Time, name: &str) -> bool {
         self.by_hand(now, name, |bans| bans.enable(now, name))
     }
 
     fn by_hand(&mut self, now: Time, name: &str, change: impl FnOnce(&mut Bans) -> bool) -> bool {
-        let Some(leaf) = self.servers.roster.known(name) else { return false };
-        if !change(&mut self.servers.bans) {
+        let Some(worker) = self.workers.roster.known(name) else { return false };
+        if !change(&mut self.workers.bans) {
             return true;
         }
-        let place = if self.servers.bans.is_out(name) { "out" } else { "back" };
+        let place = if self.workers.bans.is_out(name) { "out" } else { "back" };
         self.orders.push(Order::Trace(format!("worker {name} is {place} by hand")));
-        if let Some(member) = self.servers.get(leaf) {
-            let entry = self.servers.entry(&self.contracts, leaf, member);
+        if let Some(member) = self.workers.get(worker) {
+            let entry = self.workers.entry(&self.contracts, worker, member);
             self.orders.push(WorkerList::order(&entry, member));
             self.record_states(now, std::slice::from_ref(&entry), Vec::new());
-            self.inbox.push(Event::Membership(Membership::Delta([entry].into())));
+            self.events.push(Event::Membership(Membership::Delta([entry].into())));
         }
         true
     }
@@ -106,7 +106,7 @@
         self.module.push_cold_by(whole / f64::from(self.processes));
     }
 
-    /// So many gatherers share the fleet: in place of the settings' number, for cold servers, trials of suspects, tenants'
+    /// So many gatherers share the fleet: in place of the settings' number, for cold workers, trials of suspects, tenants'
     /// quotas and calls to discovery.
     pub fn among(&mut self, gatherers: u32) {
         self.contracts.settings.roots = gatherers.max(1);
@@ -120,22 +120,22 @@
 
     /// What the module has learned.
     pub fn learned(&self) -> Learned {
-        self.module.learned(|leaf| self.servers.roster.name(leaf))
+        self.module.learned(|worker| self.workers.roster.name(worker))
     }
 
-    /// A server that a list named to another process of this gatherer.
+    /// A worker that a list named to another process of this gatherer.
     pub fn know(&mut self, name: &str) {
-        self.servers.roster.id(name);
+        self.workers.roster.id(name);
     }
 
     /// Takes over what another process of this gatherer knew: its list, who is out by hand, what its module learned.
     pub fn take_over(&mut self, now: Time, list: &Listing, bans: Bans, learned: Learned) {
         learned.names().chain(bans.all()).take(MOST_NAMES).for_each(|name| self.know(name));
-        self.servers.bans = bans;
+        self.workers.bans = bans;
         self.learn(now, list, true);
         // The module has to know the leaves before it is told of them.
         let orders = self.turn(now);
-        self.module.take_over(learned, |name| self.servers.roster.known(name));
+        self.module.take_over(learned, |name| self.workers.roster.known(name));
         self.orders.extend(orders);
     }
 
@@ -144,30 +144,30 @@
         if self.figures.is_none() {
             return;
         }
-        let (revision, complete, workers) = (listing.revision, listing.complete, self.servers.len());
+        let (revision, complete, workers) = (listing.revision, listing.complete, self.workers.len());
         self.news.push(Body::List { revision, complete, workers });
-        let gone = self.states.missing(|leaf| self.servers.contains(leaf));
+        let gone = self.states.missing(|worker| self.workers.contains(worker));
         self.record_states(now, entries, gone);
     }
 
-    /// Tells the records how these servers are seen now, where that has changed, and which are gone.
+    /// Tells the records how these workers are seen now, where that has changed, and which are gone.
     fn record_states(&mut self, now: Time, entries: &[Entry], gone: Vec<LeafId>) {
         if self.figures.is_none() {
             return;
         }
         for entry in entries {
-            let out = self.servers.is_out(entry.leaf);
+            let out = self.workers.is_out(entry.leaf);
             let warm_up = self.contracts.settings.warm_up;
             self.record_state(entry.leaf, WorkerStates::of(entry, out, now, warm_up));
         }
-        for leaf in gone {
-            self.record_state(leaf, WorkerState::Gone);
+        for worker in gone {
+            self.record_state(worker, WorkerState::Gone);
         }
     }
 
-    fn record_state(&mut self, leaf: LeafId, state: WorkerState) {
-        if self.states.update(leaf, state)
-            && let Some(name) = self.servers.roster.name(leaf)
+    fn record_state(&mut self, worker: LeafId, state: WorkerState) {
+        if self.states.update(worker, state)
+            && let Some(name) = self.workers.roster.name(worker)
         {
             self.news.push(Body::Worker { worker: name.to_owned(), state });
         }
--- a/src/routing/in_flight.rs
+++ b/src/routing/in_flight.rs
@@ -5,49 +5,49 @@
 use std::collections::{BTreeMap, HashSet};
 
 /// One attempt that was sent.
-pub(super) struct Flight {
-    /// The server that it was sent to.
-    pub leaf: LeafId,
+pub(super) struct SentAttempt {
+    /// The worker that it was sent to.
+    pub worker: LeafId,
     /// When it was sent.
-    pub sent: Time,
+    pub at: Time,
     /// It counts as timed out from then on.
     pub deadline: Time,
 }
 
 /// All attempts that have not ended, by part and number.
 #[derive(Default)]
-pub(super) struct InFlight(BTreeMap<Ticket, Flight>);
+pub(super) struct InFlight(BTreeMap<Ticket, SentAttempt>);
 
 impl InFlight {
     /// An attempt was sent.
-    pub fn insert(&mut self, ticket: Ticket, flight: Flight) {
-        self.0.insert(ticket, flight);
+    pub fn insert(&mut self, ticket: Ticket, sent: SentAttempt) {
+        self.0.insert(ticket, sent);
     }
 
     /// An attempt ends; `None` if it has ended before.
-    pub fn remove(&mut self, ticket: Ticket) -> Option<Flight> {
+    pub fn remove(&mut self, ticket: Ticket) -> Option<SentAttempt> {
         self.0.remove(&ticket)
     }
 
     /// Ends all attempts that are waited for no longer.
-    pub fn take_expired(&mut self, now: Time) -> Vec<(Ticket, Flight)> {
-        self.0.extract_if(.., |_, flight| flight.deadline <= now).collect()
+    pub fn take_expired(&mut self, now: Time) -> Vec<(Ticket, SentAttempt)> {
+        self.0.extract_if(.., |_, sent| sent.deadline <= now).collect()
     }
 
     /// When the next attempt times out.
     pub fn next_deadline(&self) -> Option<Time> {
-        self.0.values().map(|flight| flight.deadline).min()
+        self.0.values().map(|sent| sent.deadline).min()
     }
 
     /// The attempts of one part, by number.
-    pub fn of_part(&self, part: RequestId) -> impl Iterator<Item = (&Ticket, &Flight)> {
+    pub fn of_part(&self, part: RequestId) -> impl Iterator<Item = (&Ticket, &SentAttempt)> {
         let first = Ticket { part, attempt: AttemptNo(0) };
         let last = Ticket { part, attempt: AttemptNo(u32::MAX) };
         self.0.range(first..=last)
     }
 
-    /// The servers that any attempt is out at.
-    pub fn servers(&self) -> HashSet<LeafId> {
-        self.0.values().map(|flight| flight.leaf).collect()
+    /// The workers that any attempt is out at.
+    pub fn workers(&self) -> HashSet<LeafId> {
+        self.0.values().map(|sent| sent.worker).collect()
     }
 }
--- a/src/routing/open_queries.rs
+++ b/src/routing/open_queries.rs
@@ -9,13 +9,13 @@
 use std::time::Duration;
 
 /// A query that waits for its answer.
-pub(super) struct Held {
-    /// Names it to the servers.
+pub(super) struct OpenQuery {
+    /// Names it to the workers.
     pub label: Arc<str>,
     /// What each of its parts carries.
     pub text: Bytes,
     /// It may not run a second time.
-    pub once: bool,
+    pub at_most_once: bool,
     /// How long its client will wait.
     pub valid_until: Time,
     /// Its parts.
@@ -27,7 +27,7 @@
 }
 
 /// A part of such a query.
-pub(super) struct HeldPart {
+pub(super) struct OpenPart {
     /// The query.
     pub query: RequestId,
     /// The shard that it needs.
@@ -35,23 +35,23 @@
     /// Attempts so far.
     pub attempts: u32,
     /// When those of its attempts were sent that may have run, or may yet.
-    pub risks: BTreeMap<AttemptNo, Time>,
+    pub possible_runs: BTreeMap<AttemptNo, Time>,
     /// The value, once one is in.
     pub value: Option<Bytes>,
 }
 
-impl HeldPart {
+impl OpenPart {
     /// A part that was never sent.
-    pub fn new(query: RequestId, shard: ShardId) -> HeldPart {
-        HeldPart { query, shard, attempts: 0, risks: BTreeMap::new(), value: None }
+    pub fn new(query: RequestId, shard: ShardId) -> OpenPart {
+        OpenPart { query, shard, attempts: 0, possible_runs: BTreeMap::new(), value: None }
     }
 }
 
 /// All queries that wait, and their parts.
 #[derive(Default)]
 pub(super) struct OpenQueries {
-    queries: HashMap<RequestId, Held>,
-    parts: HashMap<RequestId, HeldPart>,
+    queries: HashMap<RequestId, OpenQuery>,
+    parts: HashMap<RequestId, OpenPart>,
 }
 
 impl OpenQueries {
@@ -71,29 +71,29 @@
     }
 
     /// Takes a query in.
-    pub fn insert(&mut self, id: RequestId, query: Held) {
+    pub fn insert(&mut self, id: RequestId, query: OpenQuery) {
         self.queries.insert(id, query);
     }
 
     /// Takes a part in.
-    pub fn insert_part(&mut self, id: RequestId, part: HeldPart) {
+    pub fn insert_part(&mut self, id: RequestId, part: OpenPart) {
         self.parts.insert(id, part);
     }
 
     /// A part of a query that is open.
-    pub fn part(&mut self, id: RequestId) -> Option<&mut HeldPart> {
+    pub fn part(&mut self, id: RequestId) -> Option<&mut OpenPart> {
         self.parts.get_mut(&id)
     }
 
     /// A part and its query, where both are open.
-    pub fn part_with_query(&mut self, id: RequestId) -> Option<(&mut HeldPart, &Held)> {
+    pub fn part_with_query(&mut self, id: RequestId) -> Option<(&mut OpenPart, &OpenQuery)> {
         let part = self.parts.get_mut(&id)?;
         let query = self.queries.get(&part.query)?;
         Some((part, query))
     }
 
     /// Lets go of a query and its parts; `None` if it has ended before.
-    pub fn remove(&mut self, id: RequestId) -> Option<(Held, Vec<HeldPart>)> {
+    pub fn remove(&mut self, id: RequestId) -> Option<(OpenQuery, Vec<OpenPart>)> {
         let query = self.queries.remove(&id)?;
         let parts = query.parts.iter().filter_map(|part| self.parts.remove(part)).collect();
         Some((query, parts))
--- a/src/routing/order.rs
+++ b/src/routing/order.rs
@@ -7,10 +7,10 @@
 /// What the core asks of its host.
 #[derive(Clone, Debug)]
 pub enum Order {
-    /// A server is listed at this address; `open` is whether it may be sent anything new.
+    /// A worker is listed at this address; `open` is whether it may be sent anything new.
     Member {
-        /// The server.
-        leaf: LeafId,
+        /// The worker.
+        worker: LeafId,
         /// Its name.
         name: String,
         /// Its address.
@@ -18,30 +18,30 @@
         /// It takes work.
         open: bool,
     },
-    /// A server is no longer listed.
+    /// A worker is no longer listed.
     Gone {
-        /// The server.
-        leaf: LeafId,
+        /// The worker.
+        worker: LeafId,
     },
     /// Carry these attempts as one call.
     Call {
-        /// To this server.
-        leaf: LeafId,
+        /// To this worker.
+        worker: LeafId,
         /// The attempts.
         parts: Vec<Dispatch>,
     },
     /// Wait no longer for this attempt; its end is already booked.
     Abandon {
-        /// At this server.
-        leaf: LeafId,
+        /// At this worker.
+        worker: LeafId,
         /// The attempt.
         ticket: Ticket,
     },
     /// Nobody waits for what this attempt brings, but it may not be called off: do not send it, if nothing of it is sent
     /// yet. Its end is told as ever.
     Withdraw {
-        /// From this server.
-        leaf: LeafId,
+        /// From this worker.
+        worker: LeafId,
         /// The attempt.
         ticket: Ticket,
     },
--- a/src/routing/query.rs
+++ b/src/routing/query.rs
@@ -8,7 +8,7 @@
 /// A query as a front offers it.
 #[derive(Clone, Debug)]
 pub struct Ask {
-    /// Names the query to the servers.
+    /// Names the query to the workers.
     pub label: Arc<str>,
     /// Its class.
     pub class: ClassId,
--- a/src/routing/worker_list.rs
+++ b/src/routing/worker_list.rs
@@ -1,4 +1,4 @@
-//! The servers that discovery lists, and which of them operators have disabled, whatever it says. It turns news of either
+//! The workers that discovery lists, and which of them operators have disabled, whatever it says. It turns news of either
 //! into orders for the transport and entries for the module.
 
 use super::contracts::Contracts;
@@ -9,7 +9,7 @@
 use crate::service::Bans;
 use std::collections::{HashMap, HashSet};
 
-/// Servers that may be remembered after they have gone: far more than a day replaces.
+/// Workers that may be remembered after they have gone: far more than a day replaces.
 pub(super) const MOST_NAMES: usize = 4096;
 
 /// The list as discovery tells it, and who is out by hand.
@@ -23,27 +23,27 @@
 }
 
 impl WorkerList {
-    /// Servers in the list.
+    /// Workers in the list.
     pub fn len(&self) -> usize {
         self.listed.len()
     }
 
-    /// Whether the list names this server.
-    pub fn contains(&self, leaf: LeafId) -> bool {
-        self.listed.contains_key(&leaf)
+    /// Whether the list names this worker.
+    pub fn contains(&self, worker: LeafId) -> bool {
+        self.listed.contains_key(&worker)
     }
 
-    /// A listed server.
-    pub fn get(&self, leaf: LeafId) -> Option<&Member> {
-        self.listed.get(&leaf)
+    /// A listed worker.
+    pub fn get(&self, worker: LeafId) -> Option<&Member> {
+        self.listed.get(&worker)
     }
 
-    /// Whether a listed server is out by hand.
-    pub fn is_out(&self, leaf: LeafId) -> bool {
-        self.listed.get(&leaf).is_some_and(|member| self.bans.is_out(&member.name))
+    /// Whether a listed worker is out by hand.
+    pub fn is_out(&self, worker: LeafId) -> bool {
+        self.listed.get(&worker).is_some_and(|member| self.bans.is_out(&member.name))
     }
 
-    /// Listed servers that are out by hand.
+    /// Listed workers that are out by hand.
     pub fn count_out(&self) -> usize {
         self.listed.values().filter(|member| self.bans.is_out(&member.name)).count()
     }
@@ -61,29 +61,29 @@
         let mut orders = Vec::new();
         let mut named = HashSet::new();
         for member in &listing.members {
-            let leaf = self.roster.id(&member.name);
-            named.insert(leaf);
-            let entry = self.entry(contracts, leaf, member);
+            let worker = self.roster.id(&member.name);
+            named.insert(worker);
+            let entry = self.entry(contracts, worker, member);
             if member.status == Status::Gone {
-                self.listed.remove(&leaf);
-                orders.push(Order::Gone { leaf });
+                self.listed.remove(&worker);
+                orders.push(Order::Gone { worker });
             } else {
-                self.listed.insert(leaf, member.clone());
+                self.listed.insert(worker, member.clone());
                 orders.push(WorkerList::order(&entry, member));
             }
             entries.push(entry);
         }
         if listing.complete {
-            let gone = self.listed.extract_if(|leaf, _| !named.contains(leaf));
-            orders.extend(gone.map(|(leaf, _)| Order::Gone { leaf }));
+            let gone = self.listed.extract_if(|worker, _| !named.contains(worker));
+            orders.extend(gone.map(|(worker, _)| Order::Gone { worker }));
         }
         (entries, orders)
     }
 
     /// An entry as the module is told of it.
-    pub fn entry(&self, contracts: &Contracts, leaf: LeafId, member: &Member) -> Entry {
+    pub fn entry(&self, contracts: &Contracts, worker: LeafId, member: &Member) -> Entry {
         Entry {
-            leaf,
+            leaf: worker,
             zone: contracts.zone(&member.zone),
             cell: CellId(member.cell),
             status: self.bans.status(&member.name, member.status),
@@ -92,24 +92,24 @@
         }
     }
 
-    /// What the transport is told of a listed server.
+    /// What the transport is told of a listed worker.
     pub fn order(entry: &Entry, member: &Member) -> Order {
         Order::Member {
-            leaf: entry.leaf,
+            worker: entry.leaf,
             name: member.name.clone(),
             address: member.address.clone(),
             open: entry.status == Status::Active,
         }
     }
 
-    /// Forgets the names of servers that are no longer listed and have no attempt out, once there are too many.
+    /// Forgets the names of workers that are no longer listed and have no attempt out, once there are too many.
     pub fn forget_gone(&mut self, in_flight: &InFlight) {
         let known: Vec<LeafId> = self.roster.all().collect();
         if known.len() <= MOST_NAMES {
             return;
         }
-        let busy = in_flight.servers();
-        let idle = |leaf: &LeafId| !self.listed.contains_key(leaf) && !busy.contains(leaf);
+        let busy = in_flight.workers();
+        let idle = |worker: &LeafId| !self.listed.contains_key(worker) && !busy.contains(worker);
         self.roster.forget(known.into_iter().filter(idle));
         self.bans.forget(|name| self.roster.known(name).is_some());
     }
--- a/src/routing/worker_states.rs
+++ b/src/routing/worker_states.rs
@@ -1,16 +1,16 @@
-//! How servers are seen, for the records: it remembers what was recorded of each, so that only changes are.
+//! How workers are seen, for the records: it remembers what was recorded of each, so that only changes are.
 
 use crate::api::*;
 use crate::records::line::WorkerState;
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// The state in which each server was last recorded.
+/// The state in which each worker was last recorded.
 #[derive(Default)]
 pub(super) struct WorkerStates(HashMap<LeafId, WorkerState>);
 
 impl WorkerStates {
-    /// The state of a listed server. `out` is whether it is out by hand, `warm_up` how long a start is held to be cold.
+    /// The state of a listed worker. `out` is whether it is out by hand, `warm_up` how long a start is held to be cold.
     pub fn of(entry: &Entry, out: bool, now: Time, warm_up: Duration) -> WorkerState {
         match entry.status {
             Status::Gone => WorkerState::Gone,
@@ -23,16 +23,16 @@
         }
     }
 
-    /// The recorded servers that are not listed any longer.
+    /// The recorded workers that are not listed any longer.
     pub fn missing(&self, listed: impl Fn(LeafId) -> bool) -> Vec<LeafId> {
-        self.0.keys().copied().filter(|leaf| !listed(*leaf)).collect()
+        self.0.keys().copied().filter(|worker| !listed(*worker)).collect()
     }
 
-    /// Books the state of a server; whether that is news. The end of one that was never recorded is none.
-    pub fn update(&mut self, leaf: LeafId, state: WorkerState) -> bool {
+    /// Books the state of a worker; whether that is news. The end of one that was never recorded is none.
+    pub fn update(&mut self, worker: LeafId, state: WorkerState) -> bool {
         match state {
-            WorkerState::Gone => self.0.remove(&leaf).is_some(),
-            state => self.0.insert(leaf, state) != Some(state),
+            WorkerState::Gone => self.0.remove(&worker).is_some(),
+            state => self.0.insert(worker, state) != Some(state),
         }
     }
 }
--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -87,7 +87,7 @@
 
     /// The line for a call, where the worker takes any.
     fn line(&self, leaf: LeafId, parts: &[Dispatch]) -> Option<Rc<Line>> {
-        let once = parts.iter().any(|part| part.once);
+        let at_most_once = parts.iter().any(|part| part.at_most_once);
         let mut links = self.0.links.borrow_mut();
         let link = links.get_mut(&leaf).filter(|link| link.open)?;
         let Shared { places, limits, .. } = &self.0.shared;
@@ -98,7 +98,7 @@
             room: line.room(parts, limits.multiplex, self.0.silence) && (may_pin || !line.quiet()),
             live: !line.retired(),
         });
-        match lines::choose(once, &seen.collect::<Vec<_>>(), MOST_LINES) {
+        match lines::choose(at_most_once, &seen.collect::<Vec<_>>(), MOST_LINES) {
             Choice::Use(at) => link.lines.get(at).cloned(),
             Choice::Open => {
                 let line = Rc::new(Line::new(&link.address));
@@ -189,7 +189,7 @@
         };
         line.push(&parts);
         // A line that carries what runs once takes nothing else, and ends with it.
-        if parts.iter().any(|part| part.once) {
+        if parts.iter().any(|part| part.at_most_once) {
             line.retire();
         }
     }
--- a/tests/bans.rs
+++ b/tests/bans.rs
@@ -34,7 +34,7 @@
     core.offer(now, ask).expect("there is room");
     let mut sent = Vec::new();
     for order in core.turn(now) {
-        if let Order::Call { leaf, parts } = order {
+        if let Order::Call { worker: leaf, parts } = order {
             sent.push(leaf);
             parts.iter().for_each(|part| core.ended(now, part.ticket, End::bare(Outcome::Done)));
         }
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -53,7 +53,7 @@
     let mut tried = Vec::new();
     for _ in 0..4 {
         for order in core.turn(now) {
-            let Order::Call { leaf, parts } = order else { continue };
+            let Order::Call { worker: leaf, parts } = order else { continue };
             let name = core.name(leaf).expect("a name").to_owned();
             let outcome = if name == down { Outcome::Refused } else { Outcome::Done };
             parts.iter().for_each(|part| core.ended(now, part.ticket, End::bare(outcome)));
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -48,8 +48,8 @@
     let mut sent = None;
     for order in orders {
         match order {
-            Order::Member { leaf, name, .. } => names.push((leaf, name)),
-            Order::Call { leaf, parts } => {
+            Order::Member { worker: leaf, name, .. } => names.push((leaf, name)),
+            Order::Call { worker: leaf, parts } => {
                 core.ended(now, parts[0].ticket, End::bare(Outcome::Done));
                 sent = Some(leaf);
             }
