--- a/src/routing/broker.rs
+++ b/src/routing/broker.rs
@@ -4,7 +4,7 @@
 use super::core::Core;
 use super::order::Order;
 use super::query::{Ask, Verdict};
-use super::roster::Listing;
+use super::worker_registry::Listing;
 use crate::api::*;
 use std::cell::RefCell;
 use std::collections::HashMap;
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -189,7 +189,7 @@
         let elapsed = now.since(sent.at);
         self.counters.ended(outcome);
         if let Some(figures) = &mut self.figures {
-            let name = self.workers.roster.name(sent.worker).unwrap_or_default();
+            let name = self.workers.registry.name(sent.worker).unwrap_or_default();
             figures.attempt(name, outcome_name(outcome), elapsed);
         }
         let part = self.open.part(ticket.part);
--- a/src/routing/core/workers.rs
+++ b/src/routing/core/workers.rs
@@ -5,8 +5,8 @@
 use crate::api::*;
 use crate::records::line::{Body, WorkerState};
 use crate::routing::order::Order;
-use crate::routing::roster::Listing;
 use crate::routing::worker_list::{MOST_NAMES, WorkerList};
+use crate::routing::worker_registry::Listing;
 use crate::routing::worker_states::WorkerStates;
 use crate::rules::Learned;
 use crate::service::Bans;
@@ -31,7 +31,7 @@
 
     /// The name of a worker that was ever listed.
     pub fn name(&self, worker: LeafId) -> Option<&str> {
-        self.workers.roster.name(worker)
+        self.workers.registry.name(worker)
     }
 
     /// The list as discovery last told it.
@@ -66,7 +66,7 @@
 
     /// A load report that came by itself, not with an answer.
     pub fn load_report(&mut self, worker: &str, report: Report) -> bool {
-        let Some(leaf) = self.workers.roster.known(worker) else { return false };
+        let Some(leaf) = self.workers.registry.known(worker) else { return false };
         let (outcome, elapsed) = (Outcome::Done, Duration::ZERO);
         self.events.push(Event::Probed { leaf, outcome, elapsed, report: Some(report) });
         true
@@ -84,7 +84,7 @@
     }
 
     fn by_hand(&mut self, now: Time, name: &str, change: impl FnOnce(&mut Bans) -> bool) -> bool {
-        let Some(worker) = self.workers.roster.known(name) else { return false };
+        let Some(worker) = self.workers.registry.known(name) else { return false };
         if !change(&mut self.workers.bans) {
             return true;
         }
@@ -120,12 +120,12 @@
 
     /// What the module has learned.
     pub fn learned(&self) -> Learned {
-        self.module.learned(|worker| self.workers.roster.name(worker))
+        self.module.learned(|worker| self.workers.registry.name(worker))
     }
 
     /// A worker that a list named to another process of this gatherer.
     pub fn know(&mut self, name: &str) {
-        self.workers.roster.id(name);
+        self.workers.registry.id(name);
     }
 
     /// Takes over what another process of this gatherer knew: its list, who is out by hand, what its module learned.
@@ -135,7 +135,7 @@
         self.learn(now, list, true);
         // The module has to know the leaves before it is told of them.
         let orders = self.turn(now);
-        self.module.take_over(learned, |name| self.workers.roster.known(name));
+        self.module.take_over(learned, |name| self.workers.registry.known(name));
         self.orders.extend(orders);
     }
 
@@ -167,7 +167,7 @@
 
     fn record_state(&mut self, worker: LeafId, state: WorkerState) {
         if self.states.update(worker, state)
-            && let Some(name) = self.workers.roster.name(worker)
+            && let Some(name) = self.workers.registry.name(worker)
         {
             self.news.push(Body::Worker { worker: name.to_owned(), state });
         }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -12,8 +12,8 @@
 mod open_queries;
 pub mod order;
 pub mod query;
-pub mod roster;
 mod worker_list;
+pub mod worker_registry;
 mod worker_states;
 
 pub use attempt::{Dispatch, End, Ticket};
@@ -23,4 +23,4 @@
 pub use counters::Counters;
 pub use order::Order;
 pub use query::{Ask, AskPart, Refusal, Verdict};
-pub use roster::{Listing, Member};
+pub use worker_registry::{Listing, Member};
--- a/src/routing/worker_list.rs
+++ b/src/routing/worker_list.rs
@@ -4,7 +4,7 @@
 use super::contracts::Contracts;
 use super::in_flight::InFlight;
 use super::order::Order;
-use super::roster::{Listing, Member, Roster};
+use super::worker_registry::{Listing, Member, WorkerRegistry};
 use crate::api::*;
 use crate::service::Bans;
 use std::collections::{HashMap, HashSet};
@@ -16,7 +16,7 @@
 #[derive(Default)]
 pub(super) struct WorkerList {
     /// The ids of all that were ever listed.
-    pub roster: Roster,
+    pub registry: WorkerRegistry,
     /// Who is out by hand.
     pub bans: Bans,
     listed: HashMap<LeafId, Member>,
@@ -61,7 +61,7 @@
         let mut orders = Vec::new();
         let mut named = HashSet::new();
         for member in &listing.members {
-            let worker = self.roster.id(&member.name);
+            let worker = self.registry.id(&member.name);
             named.insert(worker);
             let entry = self.entry(contracts, worker, member);
             if member.status == Status::Gone {
@@ -104,13 +104,13 @@
 
     /// Forgets the names of workers that are no longer listed and have no attempt out, once there are too many.
     pub fn forget_gone(&mut self, in_flight: &InFlight) {
-        let known: Vec<LeafId> = self.roster.all().collect();
+        let known: Vec<LeafId> = self.registry.all().collect();
         if known.len() <= MOST_NAMES {
             return;
         }
         let busy = in_flight.workers();
         let idle = |worker: &LeafId| !self.listed.contains_key(worker) && !busy.contains(worker);
-        self.roster.forget(known.into_iter().filter(idle));
-        self.bans.forget(|name| self.roster.known(name).is_some());
+        self.registry.forget(known.into_iter().filter(idle));
+        self.bans.forget(|name| self.registry.known(name).is_some());
     }
 }
--- a/src/routing/roster.rs
+++ b/src/routing/worker_registry.rs
@@ -1,11 +1,11 @@
-//! Servers by name, as discovery tells of them, and the ids under which the module knows them.
+//! Workers by name, as discovery tells of them, and the ids under which the module knows them.
 
 use crate::api::*;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// A server as discovery lists it.
+/// A worker as discovery lists it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     /// Its name, the same at every gatherer.
@@ -35,15 +35,15 @@
     pub members: Vec<Member>,
 }
 
-/// Names to ids. An id is a hash of the name, so that all gatherers prefer the same server for a key.
+/// Names to ids. An id is a hash of the name, so that all gatherers prefer the same worker for a key.
 #[derive(Debug, Default)]
-pub struct Roster {
+pub struct WorkerRegistry {
     ids: HashMap<String, LeafId>,
     names: HashMap<LeafId, String>,
 }
 
-impl Roster {
-    /// The id of this server, made up on first sight. Two names that hash alike take neighbouring ids.
+impl WorkerRegistry {
+    /// The id of this worker, made up on first sight. Two names that hash alike take neighbouring ids.
     pub fn id(&mut self, name: &str) -> LeafId {
         if let Some(id) = self.ids.get(name) {
             return *id;
@@ -57,22 +57,22 @@
         id
     }
 
-    /// Whether this server was ever listed.
+    /// Whether this worker was ever listed.
     pub fn known(&self, name: &str) -> Option<LeafId> {
         self.ids.get(name).copied()
     }
 
-    /// The name of a server.
-    pub fn name(&self, leaf: LeafId) -> Option<&str> {
-        self.names.get(&leaf).map(String::as_str)
+    /// The name of a worker.
+    pub fn name(&self, worker: LeafId) -> Option<&str> {
+        self.names.get(&worker).map(String::as_str)
     }
 
-    /// All servers ever listed.
+    /// All workers ever listed.
     pub fn all(&self) -> impl Iterator<Item = LeafId> + '_ {
         self.names.keys().copied()
     }
 
-    /// Forgets servers that are gone, once there are more names than any fleet has.
+    /// Forgets workers that are gone, once there are more names than any fleet has.
     pub fn forget(&mut self, gone: impl Iterator<Item = LeafId>) {
         for id in gone {
             if let Some(name) = self.names.remove(&id) {
