Rename the ledger: idempotency store

Change: routing/ledger.rs is routing/idempotency.rs, Ledger is IdempotencyStore; names alone, also in its unit tests and in the front that uses it. What clients read is the same.

--- a/src/fronts/opensearch.rs
+++ b/src/fronts/opensearch.rs
@@ -5,7 +5,7 @@
 use crate::protocol::http::{Malformed, Request, Response};
 use crate::protocol::opensearch::{self, Fault, Merged, Search};
 use crate::routing::held::Held;
-use crate::routing::ledger::{Bounds, Claim, Ledger};
+use crate::routing::idempotency::{Bounds, Claim, IdempotencyStore};
 use crate::routing::{Ask, AskPart, Broker, Clock, Refusal, Verdict};
 use crate::transport::gate::Gate;
 use crate::transport::listener::Front;
@@ -54,7 +54,7 @@
     clock: Clock,
     gate: Rc<Gate>,
     names: Names,
-    ledger: RefCell<Ledger<Response>>,
+    idempotency: RefCell<IdempotencyStore<Response>>,
     held: RefCell<Held<Scroll>>,
 }
 
@@ -79,8 +79,8 @@
     ) -> Rc<Self> {
         let mut random = fastrand::Rng::with_seed(seed);
         let held = RefCell::new(Held::new(random.fork(), MOST_HELD, MOST_HELD_BYTES));
-        let ledger = RefCell::new(Ledger::new(start, random, BOUNDS));
-        Rc::new(OpenSearch { broker, clock, gate, names, ledger, held })
+        let idempotency = RefCell::new(IdempotencyStore::new(start, random, BOUNDS));
+        Rc::new(OpenSearch { broker, clock, gate, names, idempotency, held })
     }
 
     async fn search(self: &Rc<Self>, index: &str, request: &Request) -> Result<Response, Fault> {
@@ -107,12 +107,13 @@
             ))
         })?;
         let lost = || Fault::new(500, "illegal_state_exception", "the search ended without an outcome");
-        let claim = self.ledger.borrow_mut().claim(self.clock.now(), key, &checked.owner, checked.digest);
+        let claim =
+            self.idempotency.borrow_mut().claim(self.clock.now(), key, &checked.owner, checked.digest);
         let mut told = match claim {
             Claim::Run(_) if self.gate.stage().stops() => {
                 // Repeats still get their outcome; nothing new runs.
                 let refused = self.stopping(&checked.ask);
-                self.ledger.borrow_mut().finish(self.clock.now(), key, refused.clone(), 0, false);
+                self.idempotency.borrow_mut().finish(self.clock.now(), key, refused.clone(), 0, false);
                 return Ok(refused);
             }
             Claim::Run(told) => {
@@ -123,7 +124,7 @@
                     let run = spawn_local(async move { runner.run(checked).await }).await;
                     let (response, ran) = run.unwrap_or_else(|_| (lost().response(), true));
                     let size = response.body.len();
-                    front.ledger.borrow_mut().finish(front.clock.now(), &key, response, size, ran);
+                    front.idempotency.borrow_mut().finish(front.clock.now(), &key, response, size, ran);
                 });
                 told
             }
@@ -137,7 +138,7 @@
                 ));
             }
             Claim::Unknown => {
-                let start = self.ledger.borrow().start().to_owned();
+                let start = self.idempotency.borrow().start().to_owned();
                 let whose = if key.starts_with(&start) { "no longer holds" } else { "never issued" };
                 let reason = format!(
                     "start [{start}] of this gatherer {whose} this key: whether its search ran is unknown, and it is not run now"
@@ -247,7 +248,7 @@
 
     fn issue_key(&self, request: &Request) -> Result<Response, Fault> {
         let (owner, _) = self.caller(request)?;
-        match self.ledger.borrow_mut().issue(self.clock.now(), &owner) {
+        match self.idempotency.borrow_mut().issue(self.clock.now(), &owner) {
             Ok(key) => {
                 let ms = BOUNDS.retention.as_millis() as u64;
                 Ok(Response::json(200, json!({"key": key, "expires_in_ms": ms}).to_string()))
--- a/src/routing/ledger.rs
+++ b/src/routing/idempotency.rs
@@ -34,7 +34,7 @@
 /// What a request with a key is to do.
 #[derive(Debug)]
 pub enum Claim<T> {
-    /// Run, and [`Ledger::finish`]; wait for the outcome like those who join.
+    /// Run, and [`IdempotencyStore::finish`]; wait for the outcome like those who join.
     Run(watch::Receiver<Option<T>>),
     /// Wait for the outcome of the one that runs.
     Join(watch::Receiver<Option<T>>),
@@ -52,7 +52,7 @@
 pub struct Full;
 
 /// The keys of one gatherer's start.
-pub struct Ledger<T> {
+pub struct IdempotencyStore<T> {
     start: String,
     random: fastrand::Rng,
     bounds: Bounds,
@@ -60,10 +60,10 @@
     bytes: usize,
 }
 
-impl<T: Clone> Ledger<T> {
+impl<T: Clone> IdempotencyStore<T> {
     /// No keys yet. `start` names this gatherer's start, and no other one ever.
-    pub fn new(start: String, random: fastrand::Rng, bounds: Bounds) -> Ledger<T> {
-        Ledger { start, random, bounds, entries: HashMap::new(), bytes: 0 }
+    pub fn new(start: String, random: fastrand::Rng, bounds: Bounds) -> IdempotencyStore<T> {
+        IdempotencyStore { start, random, bounds, entries: HashMap::new(), bytes: 0 }
     }
 
     /// The start that its keys name.
@@ -148,28 +148,28 @@
 mod tests {
     use super::*;
 
-    fn ledger(start: &str) -> Ledger<&'static str> {
+    fn store(start: &str) -> IdempotencyStore<&'static str> {
         let bounds = Bounds { keys: 2, bytes: 10, retention: Duration::from_secs(60) };
-        Ledger::new(start.to_owned(), fastrand::Rng::with_seed(7), bounds)
+        IdempotencyStore::new(start.to_owned(), fastrand::Rng::with_seed(7), bounds)
     }
 
     #[test]
     fn a_key_runs_once_and_then_gives_what_is_on_record() {
-        let mut ledger = ledger("a");
-        let key = ledger.issue(Time(0), "bank").expect("there is room");
-        assert!(matches!(ledger.claim(Time(0), &key, "notary", 1), Claim::Unknown));
-        assert!(matches!(ledger.claim(Time(0), &key, "bank", 1), Claim::Run(_)));
-        assert!(matches!(ledger.claim(Time(0), &key, "bank", 2), Claim::Mismatch));
-        let Claim::Join(told) = ledger.claim(Time(0), &key, "bank", 1) else { panic!("it runs") };
-        ledger.finish(Time(0), &key, "sealed", 6, true);
+        let mut store = store("a");
+        let key = store.issue(Time(0), "bank").expect("there is room");
+        assert!(matches!(store.claim(Time(0), &key, "notary", 1), Claim::Unknown));
+        assert!(matches!(store.claim(Time(0), &key, "bank", 1), Claim::Run(_)));
+        assert!(matches!(store.claim(Time(0), &key, "bank", 2), Claim::Mismatch));
+        let Claim::Join(told) = store.claim(Time(0), &key, "bank", 1) else { panic!("it runs") };
+        store.finish(Time(0), &key, "sealed", 6, true);
         assert_eq!(*told.borrow(), Some("sealed"));
-        assert!(matches!(ledger.claim(Time(0), &key, "bank", 1), Claim::Recorded("sealed")));
+        assert!(matches!(store.claim(Time(0), &key, "bank", 1), Claim::Recorded("sealed")));
     }
 
     #[test]
     fn an_unknown_outcome_never_runs() {
         // Guards against a second run after a restart, at another gatherer, past retention or for want of room.
-        let (mut before, mut after) = (ledger("a"), ledger("b"));
+        let (mut before, mut after) = (store("a"), store("b"));
         let key = before.issue(Time(0), "bank").expect("there is room");
         assert!(matches!(after.claim(Time(0), &key, "bank", 1), Claim::Unknown));
         assert!(matches!(before.claim(Time(60_000_000_000), &key, "bank", 1), Claim::Unknown));
@@ -187,10 +187,10 @@
 
     #[test]
     fn a_refused_run_leaves_its_key_for_another_try() {
-        let mut ledger = ledger("a");
-        let key = ledger.issue(Time(0), "bank").expect("there is room");
-        assert!(matches!(ledger.claim(Time(0), &key, "bank", 1), Claim::Run(_)));
-        ledger.finish(Time(0), &key, "refused", 7, false);
-        assert!(matches!(ledger.claim(Time(0), &key, "bank", 1), Claim::Run(_)));
+        let mut store = store("a");
+        let key = store.issue(Time(0), "bank").expect("there is room");
+        assert!(matches!(store.claim(Time(0), &key, "bank", 1), Claim::Run(_)));
+        store.finish(Time(0), &key, "refused", 7, false);
+        assert!(matches!(store.claim(Time(0), &key, "bank", 1), Claim::Run(_)));
     }
 }
