Rename held results: scroll contexts

Change: routing/held.rs is routing/scroll_contexts.rs, Held is ScrollContexts; names alone, also in its unit test and in the front that uses it. What clients read is the same.

--- a/src/fronts/opensearch.rs
+++ b/src/fronts/opensearch.rs
@@ -4,8 +4,8 @@
 use crate::api::*;
 use crate::protocol::http::{Malformed, Request, Response};
 use crate::protocol::opensearch::{self, Fault, Merged, Search};
-use crate::routing::held::Held;
 use crate::routing::idempotency::{Bounds, Claim, IdempotencyStore};
+use crate::routing::scroll_contexts::ScrollContexts;
 use crate::routing::{Ask, AskPart, Broker, Clock, Refusal, Verdict};
 use crate::transport::gate::Gate;
 use crate::transport::listener::Front;
@@ -55,7 +55,7 @@
     gate: Rc<Gate>,
     names: Names,
     idempotency: RefCell<IdempotencyStore<Response>>,
-    held: RefCell<Held<Scroll>>,
+    scrolls: RefCell<ScrollContexts<Scroll>>,
 }
 
 /// A search that has been checked: what the broker is asked, and what becomes of the answer.
@@ -78,9 +78,9 @@
         seed: u64,
     ) -> Rc<Self> {
         let mut random = fastrand::Rng::with_seed(seed);
-        let held = RefCell::new(Held::new(random.fork(), MOST_HELD, MOST_HELD_BYTES));
+        let scrolls = RefCell::new(ScrollContexts::new(random.fork(), MOST_HELD, MOST_HELD_BYTES));
         let idempotency = RefCell::new(IdempotencyStore::new(start, random, BOUNDS));
-        Rc::new(OpenSearch { broker, clock, gate, names, idempotency, held })
+        Rc::new(OpenSearch { broker, clock, gate, names, idempotency, scrolls })
     }
 
     async fn search(self: &Rc<Self>, index: &str, request: &Request) -> Result<Response, Fault> {
@@ -190,8 +190,13 @@
             }
             let bytes = merged.hits.iter().map(|hit| hit.to_string().len()).sum::<usize>() * 2;
             let scroll = Scroll { merged, size: search.size, shards };
-            let held =
-                self.held.borrow_mut().hold(self.clock.now(), owner, keep.min(LONGEST_HELD), scroll, bytes);
+            let held = self.scrolls.borrow_mut().hold(
+                self.clock.now(),
+                owner,
+                keep.min(LONGEST_HELD),
+                scroll,
+                bytes,
+            );
             let name =
                 held.map_err(|full| Fault::new(429, "rejected_execution_exception", full.to_string()))?;
             page["_scroll_id"] = json!(format!("{name}-{end}"));
@@ -222,7 +227,7 @@
         let (name, at) = id.rsplit_once('-').ok_or_else(missing)?;
         let at: usize = at.parse().map_err(|_| missing())?;
         let now = self.clock.now();
-        let scroll = self.held.borrow_mut().get(now, name, &owner, keep).ok_or_else(missing)?;
+        let scroll = self.scrolls.borrow_mut().get(now, name, &owner, keep).ok_or_else(missing)?;
         let hits = &scroll.merged.hits;
         let end = at.saturating_add(scroll.size).min(hits.len());
         let page = hits.get(at..end).ok_or_else(missing)?;
@@ -241,7 +246,7 @@
         };
         let now = self.clock.now();
         let names = ids.iter().map(|id| id.rsplit_once('-').map_or(*id, |id| id.0));
-        let freed = names.filter(|name| self.held.borrow_mut().release(now, name, &owner)).count();
+        let freed = names.filter(|name| self.scrolls.borrow_mut().release(now, name, &owner)).count();
         let status = if freed > 0 { 200 } else { 404 };
         Ok(Response::json(status, json!({"succeeded": true, "num_freed": freed}).to_string()))
     }
--- a/src/routing/held.rs
+++ b/src/routing/scroll_contexts.rs
@@ -12,8 +12,8 @@
     until: Time,
 }
 
-/// Held results by name.
-pub struct Held<T> {
+/// Scroll contexts by id.
+pub struct ScrollContexts<T> {
     random: fastrand::Rng,
     most: usize,
     most_bytes: usize,
@@ -26,10 +26,10 @@
 #[error("as many results as may be are held")]
 pub struct Full;
 
-impl<T> Held<T> {
+impl<T> ScrollContexts<T> {
     /// Room for so many results and bytes.
-    pub fn new(random: fastrand::Rng, most: usize, most_bytes: usize) -> Held<T> {
-        Held { random, most, most_bytes, bytes: 0, entries: HashMap::new() }
+    pub fn new(random: fastrand::Rng, most: usize, most_bytes: usize) -> ScrollContexts<T> {
+        ScrollContexts { random, most, most_bytes, bytes: 0, entries: HashMap::new() }
     }
 
     /// Holds a result for its owner; gives its name. A result that is held already is never dropped for a new one.
@@ -87,16 +87,17 @@
 
     #[test]
     fn results_are_bounded_and_expire() {
-        let mut held = Held::new(fastrand::Rng::with_seed(7), 2, 10);
+        let mut scrolls = ScrollContexts::new(fastrand::Rng::with_seed(7), 2, 10);
         let keep = Duration::from_secs(1);
-        let name = held.hold(Time(0), "bank", keep, "page", 6).expect("there is room");
-        assert_eq!(held.hold(Time(0), "bank", keep, "page", 6), Err(Full));
-        assert!(held.get(Time(0), &name, "notary", None).is_none());
-        assert!(held.get(Time(999_999_999), &name, "bank", Some(keep)).is_some());
-        assert!(held.get(Time(1_999_999_998), &name, "bank", None).is_some());
-        assert!(held.get(Time(1_999_999_999), &name, "bank", None).is_none());
-        let name = held.hold(Time(2_000_000_000), "bank", keep, "page", 10).expect("the room is free again");
-        assert!(held.release(Time(2_000_000_000), &name, "bank"));
-        assert!(!held.release(Time(2_000_000_000), &name, "bank"));
+        let name = scrolls.hold(Time(0), "bank", keep, "page", 6).expect("there is room");
+        assert_eq!(scrolls.hold(Time(0), "bank", keep, "page", 6), Err(Full));
+        assert!(scrolls.get(Time(0), &name, "notary", None).is_none());
+        assert!(scrolls.get(Time(999_999_999), &name, "bank", Some(keep)).is_some());
+        assert!(scrolls.get(Time(1_999_999_998), &name, "bank", None).is_some());
+        assert!(scrolls.get(Time(1_999_999_999), &name, "bank", None).is_none());
+        let name =
+            scrolls.hold(Time(2_000_000_000), "bank", keep, "page", 10).expect("the room is free again");
+        assert!(scrolls.release(Time(2_000_000_000), &name, "bank"));
+        assert!(!scrolls.release(Time(2_000_000_000), &name, "bank"));
     }
 }
