Rename a worker's lines: connections

Change: in transport/workers alone. Line is Connection, Link is Worker, Cut is Disconnect, and the methods say what they answer. The log's line of a lost connection and the counter lines_gave_way are the same.

--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -1,8 +1,8 @@
-//! Connections to workers: a few lines to each, many parts on a line, and the exact outcome of every attempt. This is the
-//! pool: it gives each call a line, takes back what is not to be sent, and reports what a line leaves behind. Which line
-//! takes a call, and who may open the next, is decided in [`crate::limits::lines`].
+//! The connection pool for workers: a few connections to each, many parts on a connection, and the exact outcome of every
+//! attempt. It gives each call a connection, takes back what is not to be sent, and reports what a connection that ended
+//! leaves behind. Which connection takes a call, and who may open the next, is decided in [`crate::limits::lines`].
 
-mod line;
+mod connection;
 mod session;
 
 use super::places::Places;
@@ -11,17 +11,17 @@
 use crate::limits::Side;
 use crate::limits::lines::{self, Choice};
 use crate::routing::{Broker, Carrier, Dispatch, End, Ticket};
-use line::Line;
-use session::{Cut, Shared};
+use connection::Connection;
+use session::{Disconnect, Shared};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Lines to one worker.
-const MOST_LINES: usize = 4;
+/// The most connections to one worker.
+const MAX_CONNECTIONS: usize = 4;
 /// Share of the shortest aim that is silence, where a written call waits: 250 ms of 2.5 s.
-const SILENT: f64 = 0.1;
+const SILENCE_SHARE: f64 = 0.1;
 
 /// All connections to workers.
 #[derive(Clone)]
@@ -29,42 +29,44 @@
 
 struct Pool {
     shared: Shared,
-    /// Silence after a written call from which a line takes no further ones, and is given up with that call.
+    /// Silence after a written call from which a connection takes no further ones, and is given up with that call.
     silence: Duration,
     /// A worker may be told that a part is given up.
     may_cancel: bool,
-    links: RefCell<HashMap<LeafId, Link>>,
+    workers: RefCell<HashMap<LeafId, Worker>>,
 }
 
-struct Link {
+/// A worker, for as long as it is listed or has a connection.
+struct Worker {
     name: String,
     address: String,
-    /// Discovery lists it, and it takes new work.
+    /// Discovery lists it.
     listed: bool,
+    /// It takes new work.
     open: bool,
-    lines: Vec<Rc<Line>>,
+    connections: Vec<Rc<Connection>>,
 }
 
-impl Link {
-    fn new(name: &str, address: &str) -> Link {
+impl Worker {
+    fn new(name: &str, address: &str) -> Worker {
         let (name, address) = (name.to_owned(), address.to_owned());
-        Link { name, address, listed: true, open: true, lines: Vec::new() }
+        Worker { name, address, listed: true, open: true, connections: Vec::new() }
     }
 
     /// Sends nothing new to this worker: takes back what waits to be sent.
     fn stop(&mut self) -> Vec<Ticket> {
         self.open = false;
-        self.lines.iter().flat_map(|line| line.unsent()).collect()
+        self.connections.iter().flat_map(|connection| connection.take_unsent()).collect()
     }
 
-    /// Gives its lines no new calls; each ends once nothing is out on it.
+    /// Gives its connections no new calls; each ends once nothing is out on it.
     fn retire(&self) {
-        self.lines.iter().for_each(|line| line.retire());
+        self.connections.iter().for_each(|connection| connection.retire());
     }
 
     /// Whether there is any use for it.
-    fn needed(&self) -> bool {
-        self.listed || !self.lines.is_empty()
+    fn is_needed(&self) -> bool {
+        self.listed || !self.connections.is_empty()
     }
 }
 
@@ -75,138 +77,141 @@
         let (limits, settings) = (contracts.limits, contracts.settings);
         // Guards against writing on into a machine that vanished: silence is judged by what answers may take here.
         let aims = settings.classes.iter().map(|class| class.aim);
-        let silence = aims.min().unwrap_or_default().mul_f64(SILENT);
+        let silence = aims.min().unwrap_or_default().mul_f64(SILENCE_SHARE);
         let shared = Shared { broker, dial, limits, places, fields: settings.fields };
-        let (may_cancel, links) = (settings.may_cancel, RefCell::default());
-        Workers(Rc::new(Pool { shared, silence, may_cancel, links }))
+        let (may_cancel, workers) = (settings.may_cancel, RefCell::default());
+        Workers(Rc::new(Pool { shared, silence, may_cancel, workers }))
     }
 
     fn end_all(&self, tickets: Vec<Ticket>, outcome: Outcome) {
         tickets.into_iter().for_each(|ticket| self.0.shared.broker.ended(ticket, End::bare(outcome)));
     }
 
-    /// The line for a call, where the worker takes any.
-    fn line(&self, leaf: LeafId, parts: &[Dispatch]) -> Option<Rc<Line>> {
+    /// The connection for a call, where the worker takes any.
+    fn connection(&self, id: LeafId, parts: &[Dispatch]) -> Option<Rc<Connection>> {
         let at_most_once = parts.iter().any(|part| part.at_most_once);
-        let mut links = self.0.links.borrow_mut();
-        let link = links.get_mut(&leaf).filter(|link| link.open)?;
+        let mut workers = self.0.workers.borrow_mut();
+        let worker = workers.get_mut(&id).filter(|worker| worker.open)?;
         let Shared { places, limits, .. } = &self.0.shared;
-        // An idle line holds its place loosely, and needs a firm one again.
+        // An idle connection holds its place loosely, and needs a firm one again.
         let may_pin = places.descriptors(|all| all.may_pin(Side::Workers));
-        let seen = link.lines.iter().map(|line| lines::Line {
-            calls: line.calls(),
-            room: line.room(parts, limits.multiplex, self.0.silence) && (may_pin || !line.quiet()),
-            live: !line.retired(),
+        let seen = worker.connections.iter().map(|connection| lines::Line {
+            calls: connection.open_calls(),
+            room: connection.accepts(parts, limits.multiplex, self.0.silence)
+                && (may_pin || !connection.is_idle()),
+            live: !connection.is_retired(),
         });
-        match lines::choose(at_most_once, &seen.collect::<Vec<_>>(), MOST_LINES) {
-            Choice::Use(at) => link.lines.get(at).cloned(),
+        match lines::choose(at_most_once, &seen.collect::<Vec<_>>(), MAX_CONNECTIONS) {
+            Choice::Use(at) => worker.connections.get(at).cloned(),
             Choice::Open => {
-                let line = Rc::new(Line::new(&link.address));
-                link.lines.push(line.clone());
+                let connection = Rc::new(Connection::new(&worker.address));
+                worker.connections.push(connection.clone());
                 let left = parts.iter().map(|part| part.timeout).min().unwrap_or_default();
-                tokio::task::spawn_local(self.clone().run(leaf, line.clone(), left));
-                Some(line)
+                tokio::task::spawn_local(self.clone().run(id, connection.clone(), left));
+                Some(connection)
             }
         }
     }
 
-    /// The life of one line.
-    async fn run(self, leaf: LeafId, line: Rc<Line>, left: Duration) {
-        let cut = session::run(&self.0.shared, leaf, &line, left).await;
-        line.retire();
-        let (why, unwritten, written) = match cut {
-            Cut::Closed(why) => (why, Outcome::Refused, Outcome::Reset),
-            Cut::Spoilt(why) => (why, Outcome::Refused, Outcome::Error),
-            Cut::Unopened(why) => (why, Outcome::Skipped, Outcome::Reset),
+    /// The life of one connection.
+    async fn run(self, id: LeafId, connection: Rc<Connection>, left: Duration) {
+        let disconnect = session::run(&self.0.shared, id, &connection, left).await;
+        connection.retire();
+        let (why, unwritten, written) = match disconnect {
+            Disconnect::Closed(why) => (why, Outcome::Refused, Outcome::Reset),
+            Disconnect::Untrusted(why) => (why, Outcome::Refused, Outcome::Error),
+            Disconnect::Unopened(why) => (why, Outcome::Skipped, Outcome::Reset),
         };
-        self.forget(leaf, &line, &why);
-        line.place.take();
+        self.forget(id, &connection, &why);
+        connection.place.take();
         // After a frame's last byte its parts may have run; before that none can have.
-        for call in line.take_calls() {
+        for call in connection.take_calls() {
             let outcome = if call.written.is_some() { written } else { unwritten };
             self.0.shared.broker.ended(call.ticket, End::bare(outcome));
         }
     }
 
-    /// Takes a line that has ended out of the pool, and its worker with it where that is gone.
-    fn forget(&self, leaf: LeafId, line: &Rc<Line>, why: &str) {
-        let mut links = self.0.links.borrow_mut();
-        if let Some(link) = links.get_mut(&leaf) {
-            link.lines.retain(|other| !Rc::ptr_eq(other, line));
-            if !line.quiet() {
-                log::warn!("worker {} at {}: {why}", link.name, line.address);
+    /// Takes a connection that has ended out of the pool, and its worker with it where that is gone.
+    fn forget(&self, id: LeafId, connection: &Rc<Connection>, why: &str) {
+        let mut workers = self.0.workers.borrow_mut();
+        if let Some(worker) = workers.get_mut(&id) {
+            worker.connections.retain(|other| !Rc::ptr_eq(other, connection));
+            if !connection.is_idle() {
+                log::warn!("worker {} at {}: {why}", worker.name, connection.address);
             }
         }
-        links.retain(|_, link| link.needed());
+        workers.retain(|_, worker| worker.is_needed());
     }
 
-    /// Closes the line that has been idle the longest whenever its place is needed, for as long as the process lives.
+    /// Closes the connection that has been idle the longest whenever its place is needed, for as long as the process
+    /// lives.
     pub async fn give_way(self) {
         let places = &self.0.shared.places;
         loop {
             places.recalled(Side::Workers).await;
-            let links = self.0.links.borrow();
-            let idle = links.values().flat_map(|link| &link.lines).filter(|line| line.idle());
-            if let Some(line) = idle.min_by_key(|line| line.used.get()) {
+            let workers = self.0.workers.borrow();
+            let connections = workers.values().flat_map(|worker| &worker.connections);
+            let idle = connections.filter(|connection| connection.is_evictable());
+            if let Some(connection) = idle.min_by_key(|connection| connection.last_used.get()) {
                 places.tally.borrow_mut().lines_gave_way += 1;
-                line.retire();
+                connection.retire();
             }
         }
     }
 }
 
 impl Carrier for Workers {
-    fn member(&self, leaf: LeafId, name: &str, address: &str, open: bool) {
-        let mut links = self.0.links.borrow_mut();
-        let link = links.entry(leaf).or_insert_with(|| Link::new(name, address));
-        link.listed = true;
-        let back = if open { Vec::new() } else { link.stop() };
-        link.open = open;
-        if link.address != address {
-            link.address = address.to_owned();
-            link.retire();
+    fn member(&self, id: LeafId, name: &str, address: &str, open: bool) {
+        let mut workers = self.0.workers.borrow_mut();
+        let worker = workers.entry(id).or_insert_with(|| Worker::new(name, address));
+        worker.listed = true;
+        let back = if open { Vec::new() } else { worker.stop() };
+        worker.open = open;
+        if worker.address != address {
+            worker.address = address.to_owned();
+            worker.retire();
         }
-        drop(links);
+        drop(workers);
         self.end_all(back, Outcome::Skipped);
     }
 
-    fn gone(&self, leaf: LeafId) {
-        let mut links = self.0.links.borrow_mut();
-        let Some(link) = links.get_mut(&leaf) else { return };
-        let back = link.stop();
-        link.listed = false;
-        // Its lines still bring what was out on them.
-        link.retire();
-        links.retain(|_, link| link.needed());
-        drop(links);
+    fn gone(&self, id: LeafId) {
+        let mut workers = self.0.workers.borrow_mut();
+        let Some(worker) = workers.get_mut(&id) else { return };
+        let back = worker.stop();
+        worker.listed = false;
+        // Its connections still bring what was out on them.
+        worker.retire();
+        workers.retain(|_, worker| worker.is_needed());
+        drop(workers);
         self.end_all(back, Outcome::Skipped);
     }
 
-    fn call(&self, leaf: LeafId, parts: Vec<Dispatch>) {
-        let Some(line) = self.line(leaf, &parts) else {
+    fn call(&self, id: LeafId, parts: Vec<Dispatch>) {
+        let Some(connection) = self.connection(id, &parts) else {
             let tickets = parts.iter().map(|part| part.ticket).collect();
             return self.end_all(tickets, Outcome::Skipped);
         };
-        line.push(&parts);
-        // A line that carries what runs once takes nothing else, and ends with it.
+        connection.send(&parts);
+        // A connection that carries what runs once takes nothing else, and ends with it.
         if parts.iter().any(|part| part.at_most_once) {
-            line.retire();
+            connection.retire();
         }
     }
 
-    fn withdraw(&self, leaf: LeafId, ticket: Ticket) {
-        let links = self.0.links.borrow();
-        let lines = links.get(&leaf).into_iter().flat_map(|link| &link.lines);
-        let back = lines.flat_map(|line| line.withdraw(ticket)).collect();
-        drop(links);
+    fn withdraw(&self, id: LeafId, ticket: Ticket) {
+        let workers = self.0.workers.borrow();
+        let connections = workers.get(&id).into_iter().flat_map(|worker| &worker.connections);
+        let back = connections.flat_map(|connection| connection.withdraw(ticket)).collect();
+        drop(workers);
         self.end_all(back, Outcome::Skipped);
     }
 
-    fn abandon(&self, leaf: LeafId, ticket: Ticket) {
-        let links = self.0.links.borrow();
-        if let Some(link) = links.get(&leaf) {
+    fn abandon(&self, id: LeafId, ticket: Ticket) {
+        let workers = self.0.workers.borrow();
+        if let Some(worker) = workers.get(&id) {
             let (silence, tell) = (self.0.silence, self.0.may_cancel);
-            link.lines.iter().any(|line| line.abandon(ticket, silence, tell));
+            worker.connections.iter().any(|connection| connection.abandon(ticket, silence, tell));
         }
     }
 }
--- a/src/transport/workers/line.rs
+++ b/src/transport/workers/connection.rs
@@ -12,42 +12,45 @@
 use tokio::time::Instant;
 
 /// For so long a frame of which a part is written may stick where nobody waits for any of its parts.
-const STUCK: Duration = Duration::from_millis(100);
-/// Ids answered or given up that a line remembers: what is heard of them again harms nothing.
-const MOST_PAST: usize = 256;
+const HALF_WRITTEN_LIMIT: Duration = Duration::from_millis(100);
+/// Ids answered or given up that a connection remembers: what is heard of them again harms nothing.
+const MAX_FINISHED_IDS: usize = 256;
 
 /// One connection: what waits to be written, and the parts that are out on it.
-pub(super) struct Line {
+pub(super) struct Connection {
     /// Where the worker listens.
     pub address: String,
     frames: RefCell<VecDeque<Frame>>,
     calls: RefCell<HashMap<String, Call>>,
     /// Ids that were answered or given up, the latest last.
-    past: RefCell<VecDeque<String>>,
+    finished: RefCell<VecDeque<String>>,
     /// When anything was last read.
-    heard: Cell<Instant>,
+    last_read: Cell<Instant>,
     /// It takes no new calls.
     retired: Cell<bool>,
     /// Wakes the session.
-    pub news: Notify,
+    pub wake: Notify,
     /// Its descriptor, once it may have one; firm while anything is out on it.
     pub place: RefCell<Option<Place>>,
     /// When anything was last out on it.
-    pub used: Cell<Instant>,
+    pub last_used: Cell<Instant>,
 }
 
+/// A frame that is to be written.
 struct Frame {
+    /// What is not written yet.
     rest: Bytes,
-    begun: bool,
+    /// A part of it is written.
+    started: bool,
     /// The parts that it carries; none for giving one up.
     ids: Vec<String>,
     /// When it is no longer to be written: a window has ended, or nobody waits for what is half written.
-    until: Option<Instant>,
+    write_deadline: Option<Instant>,
 }
 
 impl Frame {
     fn give_up(id: &str) -> Frame {
-        Frame { rest: frame::give_up(id), begun: false, ids: Vec::new(), until: None }
+        Frame { rest: frame::give_up(id), started: false, ids: Vec::new(), write_deadline: None }
     }
 
     fn carries(&self, id: &str) -> bool {
@@ -70,76 +73,76 @@
     withdrawn: bool,
 }
 
-impl Line {
+impl Connection {
     /// A connection that is to be opened to this address.
-    pub fn new(address: &str) -> Line {
-        Line {
+    pub fn new(address: &str) -> Connection {
+        Connection {
             address: address.to_owned(),
             frames: RefCell::default(),
             calls: RefCell::default(),
-            past: RefCell::default(),
-            heard: Cell::new(Instant::now()),
+            finished: RefCell::default(),
+            last_read: Cell::new(Instant::now()),
             retired: Cell::new(false),
-            news: Notify::new(),
+            wake: Notify::new(),
             place: RefCell::default(),
-            used: Cell::new(Instant::now()),
+            last_used: Cell::new(Instant::now()),
         }
     }
 
     // ---- What it may take ----
 
-    /// Whether these parts may go on this line. Guards against taking a late answer to a part that was given up for
-    /// one to its further attempt, and against losing call after call, and the worker's good name, to a connection
+    /// Whether these parts may go on this connection. Guards against taking a late answer to a part that was given up
+    /// for one to its further attempt, and against losing call after call, and the worker's good name, to a connection
     /// that has fallen silent.
-    pub fn room(&self, parts: &[Dispatch], most: usize, silence: Duration) -> bool {
-        let (calls, past) = (self.calls.borrow(), self.past.borrow());
+    pub fn accepts(&self, parts: &[Dispatch], most: usize, silence: Duration) -> bool {
+        let (calls, finished) = (self.calls.borrow(), self.finished.borrow());
         if calls.values().filter_map(|call| call.written).any(|at| self.silent_since(at, silence)) {
             return false;
         }
-        let new = || parts.iter().all(|part| !past.contains(&frame::part_id(&part.label, part.shard.0)));
+        let new = || parts.iter().all(|part| !finished.contains(&frame::part_id(&part.label, part.shard.0)));
         !self.retired.get() && calls.len() + parts.len() <= most && new()
     }
 
     /// Whether nothing was read since then, which is as long ago as counts for silence.
     fn silent_since(&self, at: Instant, silence: Duration) -> bool {
-        self.heard.get() <= at && at.elapsed() >= silence
+        self.last_read.get() <= at && at.elapsed() >= silence
     }
 
     /// Something was read.
-    pub fn heard(&self) {
-        self.heard.set(Instant::now());
+    pub fn mark_read(&self) {
+        self.last_read.set(Instant::now());
     }
 
     /// Parts that are out.
-    pub fn calls(&self) -> usize {
+    pub fn open_calls(&self) -> usize {
         self.calls.borrow().len()
     }
 
     /// Whether nothing is out, and nothing waits to be written.
-    pub fn quiet(&self) -> bool {
+    pub fn is_idle(&self) -> bool {
         self.calls.borrow().is_empty() && self.frames.borrow().is_empty()
     }
 
     /// Whether it takes no new calls.
-    pub fn retired(&self) -> bool {
+    pub fn is_retired(&self) -> bool {
         self.retired.get()
     }
 
     /// Gives it no new calls; it ends once nothing is out on it.
     pub fn retire(&self) {
         self.retired.set(true);
-        self.news.notify_one();
+        self.wake.notify_one();
     }
 
     /// Whether it could be closed in favour of another.
-    pub fn idle(&self) -> bool {
-        self.quiet() && !self.retired.get() && self.place.borrow().is_some()
+    pub fn is_evictable(&self) -> bool {
+        self.is_idle() && !self.retired.get() && self.place.borrow().is_some()
     }
 
     /// Holds its place firmly while anything is out, and loosely else.
-    pub fn hold(&self) {
+    pub fn update_place(&self) {
         if let Some(place) = &*self.place.borrow() {
-            if self.quiet() {
+            if self.is_idle() {
                 place.unpin();
             } else {
                 place.pin();
@@ -150,37 +153,39 @@
     // ---- What is to be written ----
 
     /// Queues these parts as one frame.
-    pub fn push(&self, parts: &[Dispatch]) {
+    pub fn send(&self, parts: &[Dispatch]) {
         let mut calls = self.calls.borrow_mut();
         let mut ids = Vec::with_capacity(parts.len());
-        let until = parts.iter().filter_map(|part| part.window).min().map(|window| Instant::now() + window);
+        let window = parts.iter().filter_map(|part| part.window).min();
         for part in parts {
             let id = frame::part_id(&part.label, part.shard.0);
             calls.insert(id.clone(), Call { ticket: part.ticket, written: None, withdrawn: false });
             ids.push(id);
         }
         drop(calls);
-        self.frames.borrow_mut().push_back(Frame { rest: frame::call(parts), begun: false, ids, until });
-        self.hold();
-        self.news.notify_one();
+        let write_deadline = window.map(|window| Instant::now() + window);
+        let frame = Frame { rest: frame::call(parts), started: false, ids, write_deadline };
+        self.frames.borrow_mut().push_back(frame);
+        self.update_place();
+        self.wake.notify_one();
     }
 
     /// What is to be written next.
-    pub fn front(&self) -> Option<Bytes> {
+    pub fn next_frame(&self) -> Option<Bytes> {
         self.frames.borrow().front().map(|frame| frame.rest.clone())
     }
 
     /// When what is to be written next no longer is.
-    pub fn until(&self) -> Option<Instant> {
-        self.frames.borrow().front().and_then(|frame| frame.until)
+    pub fn write_deadline(&self) -> Option<Instant> {
+        self.frames.borrow().front().and_then(|frame| frame.write_deadline)
     }
 
     /// Books that so many bytes of the front frame are written; how many parts have been written whole by that.
-    pub fn wrote(&self, count: usize) -> usize {
+    pub fn mark_written(&self, count: usize) -> usize {
         let mut frames = self.frames.borrow_mut();
         let Some(frame) = frames.front_mut() else { return 0 };
         frame.rest.advance(count);
-        frame.begun |= count > 0;
+        frame.started |= count > 0;
         if !frame.rest.is_empty() {
             return 0;
         }
@@ -204,16 +209,16 @@
     }
 
     /// Whether this part was answered or given up before.
-    pub fn is_past(&self, id: &str) -> bool {
-        self.past.borrow().iter().any(|past| past == id)
+    pub fn is_finished(&self, id: &str) -> bool {
+        self.finished.borrow().iter().any(|finished| finished == id)
     }
 
     fn remember(&self, id: String) {
-        let mut past = self.past.borrow_mut();
-        if past.len() >= MOST_PAST {
-            past.pop_front();
+        let mut finished = self.finished.borrow_mut();
+        if finished.len() >= MAX_FINISHED_IDS {
+            finished.pop_front();
         }
-        past.push_back(id);
+        finished.push_back(id);
     }
 
     /// All parts that are out, when the connection has ended.
@@ -221,7 +226,7 @@
         self.calls.take().into_values().collect()
     }
 
-    /// Lets go of an attempt; false if it is not on this line. A call of which no byte is written stays here,
+    /// Lets go of an attempt; false if it is not on this connection. A call of which no byte is written stays here,
     /// of another the worker is told, where that is allowed.
     pub fn abandon(&self, ticket: Ticket, silence: Duration, tell: bool) -> bool {
         let Some((id, call)) = self.remove(ticket) else { return false };
@@ -236,7 +241,7 @@
         if call.written.is_some_and(|at| self.silent_since(at, silence)) {
             self.retire();
         }
-        self.news.notify_one();
+        self.wake.notify_one();
         true
     }
 
@@ -250,7 +255,7 @@
     fn drop_unsent(&self, id: &str) -> bool {
         let (calls, mut frames) = (self.calls.borrow(), self.frames.borrow_mut());
         let before = frames.len();
-        frames.retain(|frame| frame.begun || !frame.carries(id) || frame.wanted(&calls));
+        frames.retain(|frame| frame.started || !frame.carries(id) || frame.wanted(&calls));
         frames.len() < before
     }
 
@@ -259,14 +264,14 @@
     fn bound_half_written(&self, id: &str) {
         let (calls, mut frames) = (self.calls.borrow(), self.frames.borrow_mut());
         let Some(frame) = frames.front_mut() else { return };
-        if frame.begun && frame.carries(id) && !frame.wanted(&calls) {
-            let stuck = Instant::now() + STUCK;
-            frame.until = Some(frame.until.map_or(stuck, |until| until.min(stuck)));
+        if frame.started && frame.carries(id) && !frame.wanted(&calls) {
+            let limit = Instant::now() + HALF_WRITTEN_LIMIT;
+            frame.write_deadline = Some(frame.write_deadline.map_or(limit, |deadline| deadline.min(limit)));
         }
     }
 
     /// Takes back the calls of which no byte has been written.
-    pub fn unsent(&self) -> Vec<Ticket> {
+    pub fn take_unsent(&self) -> Vec<Ticket> {
         self.take_back(|_| true)
     }
 
@@ -284,7 +289,7 @@
         let mut tickets = Vec::new();
         self.frames.borrow_mut().retain(|frame| {
             let stays = |id: &String| calls.get(id).is_some_and(|call| !may(call));
-            if frame.begun || frame.ids.is_empty() || frame.ids.iter().any(stays) {
+            if frame.started || frame.ids.is_empty() || frame.ids.iter().any(stays) {
                 return true;
             }
             tickets.extend(frame.ids.iter().filter_map(|id| calls.remove(id)).map(|call| call.ticket));
--- a/src/transport/workers/session.rs
+++ b/src/transport/workers/session.rs
@@ -1,7 +1,7 @@
-//! The life of one connection: it waits for a place, connects, writes the frames of its [`Line`] and reads the answers,
-//! and says why it ended. It reports each answer; what is still out at the end is its owner's.
+//! The input and output of one connection: it waits for a place, connects, writes the frames of its [`Connection`], reads
+//! the answers, and says why it ended. It reports each answer; what is still out at the end is the pool's to report.
 
-use super::line::Line;
+use super::connection::Connection;
 use crate::api::{Field, LeafId};
 use crate::protocol::frame::{self, Incoming};
 use crate::routing::{Broker, End, Limits};
@@ -14,12 +14,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::time::Instant;
 
-/// Share of the worker's idle time after which a line is closed from this side.
+/// Share of the worker's idle time after which a connection is closed from this side.
 const IDLE_SHARE: f64 = 0.6;
 /// Reading takes at most so much at once.
-const READ: usize = 16 * 1024;
+const READ_SIZE: usize = 16 * 1024;
 /// Free space of the buffer before each reading, at least.
-const LEAST_READ: usize = 1024;
+const MIN_READ_SIZE: usize = 1024;
 
 /// What all connections share.
 pub(super) struct Shared {
@@ -35,65 +35,70 @@
     pub fields: Vec<Field>,
 }
 
-/// How a line ended.
-pub(super) enum Cut {
+/// How a connection ended.
+pub(super) enum Disconnect {
     /// The connection ended, or was ended while nothing was out on it.
     Closed(String),
     /// The worker sent what is no answer: nothing further on the connection can be trusted.
-    Spoilt(String),
+    Untrusted(String),
     /// There was no place for it, or no time left: nothing was tried.
     Unopened(String),
 }
 
-impl Cut {
-    fn closed(why: &str) -> Cut {
-        Cut::Closed(why.to_owned())
+impl Disconnect {
+    fn closed(why: &str) -> Disconnect {
+        Disconnect::Closed(why.to_owned())
     }
 
-    fn overdue() -> Cut {
-        Cut::Unopened("it could not be written in time".to_owned())
+    fn overdue() -> Disconnect {
+        Disconnect::Unopened("it could not be written in time".to_owned())
     }
 }
 
 /// Opens a connection within `left` and serves it to its end.
-pub(super) async fn run(shared: &Shared, leaf: LeafId, line: &Line, left: Duration) -> Cut {
-    let connected = connect(shared, leaf, line, left);
-    let connected = match line.until() {
-        Some(until) => {
-            tokio::time::timeout_at(until, connected).await.unwrap_or_else(|_| Err(Cut::overdue()))
+pub(super) async fn run(
+    shared: &Shared,
+    worker: LeafId,
+    connection: &Connection,
+    left: Duration,
+) -> Disconnect {
+    let connected = connect(shared, worker, connection, left);
+    let connected = match connection.write_deadline() {
+        Some(deadline) => {
+            tokio::time::timeout_at(deadline, connected).await.unwrap_or_else(|_| Err(Disconnect::overdue()))
         }
         None => connected.await,
     };
     match connected {
-        Ok(Some(stream)) => Session::new(shared, line).serve(stream).await,
-        Ok(None) => Cut::closed("no longer needed"),
-        Err(cut) => cut,
+        Ok(Some(stream)) => Session::new(shared, connection).serve(stream).await,
+        Ok(None) => Disconnect::closed("no longer needed"),
+        Err(disconnect) => disconnect,
     }
 }
 
-/// Waits for a place and connects; `None` where the line is no longer needed by then.
+/// Waits for a place and connects; `None` where the connection is no longer needed by then.
 async fn connect(
     shared: &Shared,
-    leaf: LeafId,
-    line: &Line,
+    worker: LeafId,
+    connection: &Connection,
     left: Duration,
-) -> Result<Option<Box<dyn Stream>>, Cut> {
-    let opening = shared.places.open(leaf, left).await;
-    let opening = opening.map_err(|turned| Cut::Unopened(turned.to_string()))?;
-    if line.quiet() {
+) -> Result<Option<Box<dyn Stream>>, Disconnect> {
+    let opening = shared.places.open(worker, left).await;
+    let opening = opening.map_err(|turned| Disconnect::Unopened(turned.to_string()))?;
+    if connection.is_idle() {
         return Ok(None);
     }
-    let stream = dial_within(&*shared.dial, &line.address, shared.limits.connect_timeout).await;
-    let stream = stream.map_err(|error| Cut::Closed(format!("cannot connect: {error}")))?;
-    line.place.replace(Some(opening.up()));
+    let stream = dial_within(&*shared.dial, &connection.address, shared.limits.connect_timeout).await;
+    let stream = stream.map_err(|error| Disconnect::Closed(format!("cannot connect: {error}")))?;
+    connection.place.replace(Some(opening.up()));
     Ok(Some(stream))
 }
 
 /// What a session waits for.
 enum Event {
     Read(io::Result<usize>),
-    Wrote(io::Result<usize>),
-    News,
+    Written(io::Result<usize>),
+    Wake,
     FrameOverdue,
     AnswerOverdue,
     Idle,
@@ -102,29 +107,36 @@
 /// A connection that is up.
 struct Session<'a> {
     shared: &'a Shared,
-    line: &'a Line,
+    connection: &'a Connection,
     /// What was read and is no whole answer yet.
     buffer: BytesMut,
     /// Books the buffer's size.
     buffered: Buffered,
     /// When anything was last out.
-    used: Instant,
+    last_used: Instant,
     /// When the answer that is not all there began.
-    begun: Option<Instant>,
+    answer_started: Option<Instant>,
 }
 
 impl<'a> Session<'a> {
-    fn new(shared: &'a Shared, line: &'a Line) -> Session<'a> {
+    fn new(shared: &'a Shared, connection: &'a Connection) -> Session<'a> {
         let buffered = Buffered::new(&shared.places);
-        Session { shared, line, buffer: BytesMut::new(), buffered, used: Instant::now(), begun: None }
+        Session {
+            shared,
+            connection,
+            buffer: BytesMut::new(),
+            buffered,
+            last_used: Instant::now(),
+            answer_started: None,
+        }
     }
 
     /// Writes frames and reads answers until the connection ends; says why it did.
-    async fn serve(mut self, stream: Box<dyn Stream>) -> Cut {
+    async fn serve(mut self, stream: Box<dyn Stream>) -> Disconnect {
         let (mut read, mut write) = tokio::io::split(stream);
         loop {
-            if let Err(cut) = self.step(&mut read, &mut write).await {
-                return cut;
+            if let Err(disconnect) = self.step(&mut read, &mut write).await {
+                return disconnect;
             }
         }
     }
@@ -133,21 +145,21 @@
         &mut self,
         read: &mut ReadHalf<Box<dyn Stream>>,
         write: &mut WriteHalf<Box<dyn Stream>>,
-    ) -> Result<(), Cut> {
-        if self.line.quiet() && self.line.retired() {
-            return Err(Cut::closed("retired"));
+    ) -> Result<(), Disconnect> {
+        if self.connection.is_idle() && self.connection.is_retired() {
+            return Err(Disconnect::closed("retired"));
         }
-        self.line.hold();
-        if self.line.until().is_some_and(|until| until <= Instant::now()) {
-            return Err(Cut::overdue());
+        self.connection.update_place();
+        if self.connection.write_deadline().is_some_and(|deadline| deadline <= Instant::now()) {
+            return Err(Disconnect::overdue());
         }
-        self.buffer.reserve(READ.saturating_sub(self.buffer.len()).max(LEAST_READ));
+        self.buffer.reserve(READ_SIZE.saturating_sub(self.buffer.len()).max(MIN_READ_SIZE));
         self.buffered.set(self.buffer.capacity());
         let event = self.wait(read, write).await;
         self.take(event)?;
-        if !self.line.quiet() {
-            self.used = Instant::now();
-            self.line.used.set(self.used);
+        if !self.connection.is_idle() {
+            self.last_used = Instant::now();
+            self.connection.last_used.set(self.last_used);
         }
         Ok(())
     }
@@ -157,63 +169,65 @@
         read: &mut ReadHalf<Box<dyn Stream>>,
         write: &mut WriteHalf<Box<dyn Stream>>,
     ) -> Event {
-        let (front, until) = (self.line.front(), self.line.until());
+        let (frame, deadline) = (self.connection.next_frame(), self.connection.write_deadline());
         let limits = &self.shared.limits;
-        let idle = self.used + limits.conn_idle.mul_f64(IDLE_SHARE);
+        let idle = self.last_used + limits.conn_idle.mul_f64(IDLE_SHARE);
         // Guards against answers that never end: the rest of a frame may take as long as a connection may.
-        let rest = self.begun.unwrap_or(self.used) + limits.connect_timeout;
+        let answer_deadline = self.answer_started.unwrap_or(self.last_used) + limits.connect_timeout;
         tokio::select! {
             biased;
             count = read.read_buf(&mut self.buffer) => Event::Read(count),
-            count = write.write(front.as_deref().unwrap_or_default()), if front.is_some() => Event::Wrote(count),
-            () = self.line.news.notified() => Event::News,
-            () = tokio::time::sleep_until(until.unwrap_or(self.used)), if until.is_some() => Event::FrameOverdue,
-            () = tokio::time::sleep_until(rest), if self.begun.is_some() => Event::AnswerOverdue,
-            () = tokio::time::sleep_until(idle), if self.line.quiet() => Event::Idle,
+            count = write.write(frame.as_deref().unwrap_or_default()), if frame.is_some() => Event::Written(count),
+            () = self.connection.wake.notified() => Event::Wake,
+            () = tokio::time::sleep_until(deadline.unwrap_or(self.last_used)), if deadline.is_some() => Event::FrameOverdue,
+            () = tokio::time::sleep_until(answer_deadline), if self.answer_started.is_some() => Event::AnswerOverdue,
+            () = tokio::time::sleep_until(idle), if self.connection.is_idle() => Event::Idle,
         }
     }
 
-    fn take(&mut self, event: Event) -> Result<(), Cut> {
+    fn take(&mut self, event: Event) -> Result<(), Disconnect> {
         match event {
-            Event::Read(Ok(0)) | Event::Wrote(Ok(0)) => Err(Cut::closed("closed by the worker")),
+            Event::Read(Ok(0)) | Event::Written(Ok(0)) => Err(Disconnect::closed("closed by the worker")),
             Event::Read(Ok(_)) => self.read(),
-            Event::Wrote(Ok(count)) => {
-                let parts = self.line.wrote(count);
+            Event::Written(Ok(count)) => {
+                let parts = self.connection.mark_written(count);
                 self.shared.broker.core(|core| core.written(parts));
                 Ok(())
             }
-            Event::Read(Err(error)) | Event::Wrote(Err(error)) => Err(Cut::Closed(error.to_string())),
-            Event::News => Ok(()),
-            Event::FrameOverdue => Err(Cut::overdue()),
-            Event::AnswerOverdue => Err(Cut::Spoilt("a frame that does not end".to_owned())),
-            Event::Idle => Err(Cut::closed("idle")),
+            Event::Read(Err(error)) | Event::Written(Err(error)) => {
+                Err(Disconnect::Closed(error.to_string()))
+            }
+            Event::Wake => Ok(()),
+            Event::FrameOverdue => Err(Disconnect::overdue()),
+            Event::AnswerOverdue => Err(Disconnect::Untrusted("a frame that does not end".to_owned())),
+            Event::Idle => Err(Disconnect::closed("idle")),
         }
     }
 
     /// Something was read.
-    fn read(&mut self) -> Result<(), Cut> {
-        self.line.heard();
+    fn read(&mut self) -> Result<(), Disconnect> {
+        self.connection.mark_read();
         let before = self.buffer.len();
         self.answers()?;
-        self.begun = match self.buffer.len() {
+        self.answer_started = match self.buffer.len() {
             0 => None,
-            length if length == before => self.begun.or(Some(Instant::now())),
+            length if length == before => self.answer_started.or(Some(Instant::now())),
             _ => Some(Instant::now()),
         };
         Ok(())
     }
 
     /// Books every answer that is whole in the buffer.
-    fn answers(&mut self) -> Result<(), Cut> {
+    fn answers(&mut self) -> Result<(), Disconnect> {
         loop {
             match frame::take(&mut self.buffer, &self.shared.fields) {
                 Ok(Some(Incoming::Answer { id, outcome, value, report })) => {
                     self.answer(&id, End { outcome, value, report })?;
                 }
                 Ok(Some(Incoming::Rejected(words))) => {
-                    return Err(Cut::Closed(format!("a frame was refused: {words:?}")));
+                    return Err(Disconnect::Closed(format!("a frame was refused: {words:?}")));
                 }
-                Ok(None) if !self.buffer.is_empty() && self.line.calls() == 0 => {
+                Ok(None) if !self.buffer.is_empty() && self.connection.open_calls() == 0 => {
                     return Err(self.noise("more than its answers".to_owned()));
                 }
                 Ok(None) => return Ok(()),
@@ -222,10 +236,10 @@
         }
     }
 
-    fn answer(&self, id: &str, end: End) -> Result<(), Cut> {
-        match self.line.answered(id) {
+    fn answer(&self, id: &str, end: End) -> Result<(), Disconnect> {
+        match self.connection.answered(id) {
             Some(call) => self.shared.broker.ended(call.ticket, end),
-            None if self.line.is_past(id) => {}
+            None if self.connection.is_finished(id) => {}
             // Guards against waiting for a part whose answer came under another id.
             None => return Err(self.noise("an answer to nothing that was asked".to_owned())),
         }
@@ -234,7 +248,7 @@
 
     /// Guards against noise behind a good answer: where nothing is out it harms nothing, and the connection is closed
     /// before a call is lost to it.
-    fn noise(&self, why: String) -> Cut {
-        if self.line.calls() == 0 { Cut::Closed(why) } else { Cut::Spoilt(why) }
+    fn noise(&self, why: String) -> Disconnect {
+        if self.connection.open_calls() == 0 { Disconnect::Closed(why) } else { Disconnect::Untrusted(why) }
     }
 }
