Rename a member's words: probes, gossip queue, fleet size estimate

Change: names inside membership/node; news.rs is gossip_queue.rs, census.rs is fleet_size.rs. The number of members gossip goes to has a constant of its own, of the same value. Settings' keys, messages and states are the same, and so is the order of draws. No test of tests/ is touched.

--- a/src/membership/census.rs
+++ b/src/membership/fleet_size.rs
@@ -12,14 +12,14 @@
 
 /// Counts gatherers, in place of a figure of the settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Census {
+pub struct FleetSizeEstimate {
     stated: u32,
 }
 
-impl Census {
+impl FleetSizeEstimate {
     /// For a fleet of which the settings say that it has so many gatherers.
-    pub fn new(stated: u32) -> Census {
-        Census { stated: stated.max(1) }
+    pub fn new(stated: u32) -> FleetSizeEstimate {
+        FleetSizeEstimate { stated: stated.max(1) }
     }
 
     /// The number now. Who joins counts at once, and who is known to have gone counts no longer: both are certain. Who
@@ -74,15 +74,15 @@
 
     #[test]
     fn certain_ends_count_at_once_and_silence_only_for_a_majority_after_a_while() {
-        let census = Census::new(10);
+        let estimate = FleetSizeEstimate::new(10);
         let now = Time(100 * S);
-        assert_eq!(census.gatherers(now, &Table::new(9)), 10, "alone, the settings hold");
-        assert_eq!(census.gatherers(now, &table(9, 0, 7, now)), 3);
-        assert_eq!(census.gatherers(now, &table(9, 4, 0, now)), 10);
-        assert_eq!(census.gatherers(Time(131 * S), &table(9, 4, 0, now)), 6);
-        assert_eq!(census.gatherers(Time(999 * S), &table(9, 5, 0, now)), 10, "half is no majority");
-        assert_eq!(census.gatherers(now, &table(99, 0, 0, now)), 40, "a ceiling");
-        assert_eq!(census.gatherers(now, &table(9, 0, 9, now)), 3, "and a floor");
+        assert_eq!(estimate.gatherers(now, &Table::new(9)), 10, "alone, the settings hold");
+        assert_eq!(estimate.gatherers(now, &table(9, 0, 7, now)), 3);
+        assert_eq!(estimate.gatherers(now, &table(9, 4, 0, now)), 10);
+        assert_eq!(estimate.gatherers(Time(131 * S), &table(9, 4, 0, now)), 6);
+        assert_eq!(estimate.gatherers(Time(999 * S), &table(9, 5, 0, now)), 10, "half is no majority");
+        assert_eq!(estimate.gatherers(now, &table(99, 0, 0, now)), 40, "a ceiling");
+        assert_eq!(estimate.gatherers(now, &table(9, 0, 9, now)), 3, "and a floor");
     }
 
     proptest! {
@@ -90,13 +90,13 @@
         #[test]
         fn parts_of_a_fleet_never_share_out_more_than_one_and_a_half(cuts in prop::collection::vec(1..60_u32, 1..6)) {
             let all: u32 = cuts.iter().sum();
-            let census = Census::new(all);
+            let estimate = FleetSizeEstimate::new(all);
             for later in [0, 29, 31, 10_000] {
                 let shared: f64 = cuts
                     .iter()
                     .map(|part| {
                         let seen = table(all - 1, all - part, 0, Time(S));
-                        f64::from(*part) / f64::from(census.gatherers(Time((1 + later) * S), &seen))
+                        f64::from(*part) / f64::from(estimate.gatherers(Time((1 + later) * S), &seen))
                     })
                     .sum();
                 prop_assert!(shared < 1.5, "{cuts:?} share out {shared} after {later} s");
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -2,16 +2,16 @@
 //! Messages, times and lots go in, messages and decisions come out: no socket, no task, no clock. What it is for and why
 //! it is built so: docs/membership.md.
 
-pub mod census;
 pub mod claim;
-pub mod news;
+pub mod fleet_size;
+pub mod gossip_queue;
 pub mod node;
 pub mod order;
 pub mod table;
 pub mod timing;
 
-pub use census::Census;
 pub use claim::{Claim, Kind, Message, Standing};
+pub use fleet_size::FleetSizeEstimate;
 pub use node::Node;
 pub use order::{Knock, Order};
 pub use table::{Change, Link, Seen, State, Table};
--- a/src/membership/node.rs
+++ b/src/membership/node.rs
@@ -1,15 +1,15 @@
-//! One member: what it asks of whom, what it concludes from answers and from their absence, and what it passes on.
+//! One member: whom it probes, what it concludes from answers and from their absence, and what it passes on.
 //!
-//! This is its state and its clock. `node/probing.rs` asks and concludes, `node/messages.rs` sends and hears,
+//! This is its state and its clock. `node/probing.rs` probes and concludes, `node/messages.rs` sends and hears,
 //! `node/beliefs.rs` changes what is held of others.
 
 mod beliefs;
 mod messages;
 mod probing;
 
-use super::census::Census;
 use super::claim::{Claim, Kind, Standing};
-use super::news::News;
+use super::fleet_size::FleetSizeEstimate;
+use super::gossip_queue::GossipQueue;
 use super::order::Order;
 use super::table::Table;
 use super::timing::Timing;
@@ -19,14 +19,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Members asked in each period.
-const FANOUT: usize = 2;
-/// Helpers that are had ask whom one does not hear, and members that gossip goes to at once.
-const HELPERS: usize = 3;
+/// Members probed in each period.
+const PROBES_PER_PERIOD: usize = 2;
+/// Members that are had probe whom one does not hear.
+const INDIRECT_PROBES: usize = 3;
+/// Members that gossip goes to at once.
+const GOSSIP_FANOUT: usize = 3;
 /// Members up to which tables are exchanged as often as [`Timing::exchange`] says; beyond, in proportion more rarely.
-const LEVEL: usize = 64;
+const FULL_EXCHANGE_RATE_MEMBERS: usize = 64;
 /// Members that hear of one's leaving from itself.
-const FAREWELLS: usize = 8;
+const LEAVE_FANOUT: usize = 8;
 
 /// The state of one member.
 pub struct Node {
@@ -34,24 +36,26 @@
     timing: Timing,
     seeds: Vec<SocketAddr>,
     table: Table,
-    census: Census,
+    fleet_size: FleetSizeEstimate,
     random: fastrand::Rng,
-    /// Whom it asks next, in an order of its own drawing.
+    /// Whom it probes next, in a random order.
     round: Vec<String>,
-    number: u32,
+    last_probe_number: u32,
     probes: BTreeMap<u32, Probe>,
-    /// Questions asked for others: who asked, with which number, and when.
-    helping: BTreeMap<u32, (SocketAddr, u32, Time)>,
-    /// Names of which there is news.
-    news: News,
-    bury: BTreeMap<String, Time>,
+    /// Probes sent for others: who asked, with which number, and when.
+    indirect_probes: BTreeMap<u32, (SocketAddr, u32, Time)>,
+    /// Names of which there is news, which rides on messages.
+    gossip_queue: GossipQueue,
+    /// When each suspect is declared dead.
+    suspect_deadlines: BTreeMap<String, Time>,
     /// When anybody was last heard.
-    heard: Time,
-    last: Time,
-    beat_at: Time,
+    last_heard: Time,
+    /// When [`Node::tick`] was last called.
+    last_tick: Time,
+    period_at: Time,
     gossip_at: Time,
     exchange_at: Time,
-    again_at: Time,
+    rejoin_at: Time,
     orders: Vec<Order>,
 }
 
@@ -72,20 +76,20 @@
             own,
             timing,
             table: Table::new(most),
-            census: Census::new(stated),
+            fleet_size: FleetSizeEstimate::new(stated),
             random: fastrand::Rng::with_seed(seed),
             round: Vec::new(),
-            number: 0,
+            last_probe_number: 0,
             probes: BTreeMap::new(),
-            helping: BTreeMap::new(),
-            news: News::default(),
-            bury: BTreeMap::new(),
-            heard: now,
-            last: now,
-            beat_at: now,
+            indirect_probes: BTreeMap::new(),
+            gossip_queue: GossipQueue::default(),
+            suspect_deadlines: BTreeMap::new(),
+            last_heard: now,
+            last_tick: now,
+            period_at: now,
             gossip_at: now,
             exchange_at: now,
-            again_at: now,
+            rejoin_at: now,
             orders: Vec::new(),
         }
     }
@@ -102,12 +106,12 @@
 
     /// How many gatherers share the fleet, as far as it can tell on the safe side.
     pub fn gatherers(&self, now: Time) -> u32 {
-        self.census.gatherers(now, &self.table)
+        self.fleet_size.gatherers(now, &self.table)
     }
 
     /// Nobody has been heard for so long that it is itself the one that is cut off.
     pub fn alone(&self, now: Time) -> bool {
-        now.since(self.heard) >= self.timing.alone && self.table.present().next().is_some()
+        now.since(self.last_heard) >= self.timing.alone && self.table.present().next().is_some()
     }
 
     /// What is to be done.
@@ -117,25 +121,25 @@
 
     /// When [`Node::tick`] is next to be called.
     pub fn next_due(&self) -> Time {
-        let news = (!self.news.is_empty()).then_some(self.gossip_at);
+        let news = (!self.gossip_queue.is_empty()).then_some(self.gossip_at);
         let probes = self.probes.values().map(|probe| probe.due(self.timing.period));
-        let bury = self.bury.values().copied();
-        let all = probes.chain(bury).chain(news);
-        all.chain([self.beat_at, self.exchange_at, self.again_at]).min().unwrap_or(self.beat_at)
+        let suspects = self.suspect_deadlines.values().copied();
+        let all = probes.chain(suspects).chain(news);
+        all.chain([self.period_at, self.exchange_at, self.rejoin_at]).min().unwrap_or(self.period_at)
     }
 
     /// Does what is due.
     pub fn tick(&mut self, now: Time) {
-        let jump = now.since(self.last);
-        self.last = self.last.max(now);
+        let jump = now.since(self.last_tick);
+        self.last_tick = self.last_tick.max(now);
         if jump > self.timing.stall {
-            self.stood_still(now, jump);
+            self.resume_after_pause(now, jump);
         }
-        self.pursue(now);
-        if self.beat_at <= now {
-            self.beat(now);
+        self.follow_up_due(now);
+        if self.period_at <= now {
+            self.begin_period(now);
         }
-        self.bury(now);
+        self.declare_dead(now);
         if self.gossip_at <= now {
             self.gossip_at = now.after(self.timing.gossip);
             self.gossip();
@@ -143,43 +147,43 @@
         if self.exchange_at <= now {
             self.exchange(now);
         }
-        if self.again_at <= now {
-            self.again_at = now.after(self.timing.again);
-            self.look_for_lost();
+        if self.rejoin_at <= now {
+            self.rejoin_at = now.after(self.timing.again);
+            self.rejoin_lost();
         }
     }
 
     /// Begins a period.
-    fn beat(&mut self, now: Time) {
-        self.beat_at = now.after(self.timing.period);
+    fn begin_period(&mut self, now: Time) {
+        self.period_at = now.after(self.timing.period);
         self.table.forget(now, self.timing.remember.0, self.timing.remember.1);
-        self.helping.retain(|_, (_, _, at)| now.since(*at) < self.timing.period);
-        for _ in 0..FANOUT {
-            self.ask_next(now);
+        self.indirect_probes.retain(|_, (_, _, at)| now.since(*at) < self.timing.period);
+        for _ in 0..PROBES_PER_PERIOD {
+            self.probe_next(now);
         }
     }
 
     /// Has tables exchanged with one of those who are there.
     fn exchange(&mut self, now: Time) {
-        let times = (self.table.iter().count() / LEVEL).max(1) as u32;
+        let times = (self.table.iter().count() / FULL_EXCHANGE_RATE_MEMBERS).max(1) as u32;
         self.exchange_at = now.after(self.timing.exchange * times);
-        if let Some(with) = self.some(1, |_| true).first() {
+        if let Some(with) = self.pick_members(1, |_| true).first() {
             self.orders.push(Order::Exchange { with: with.address });
         }
     }
 
     /// Guards against acting on what was decided before a time in which this process did not run: others' silence in it
     /// is its own.
-    fn stood_still(&mut self, now: Time, jump: Duration) {
+    fn resume_after_pause(&mut self, now: Time, jump: Duration) {
         self.probes.clear();
-        self.helping.clear();
+        self.indirect_probes.clear();
         self.table.stood_still(jump);
-        self.bury.values_mut().for_each(|at| *at = at.after(jump));
-        self.heard = self.heard.after(jump).min(now);
+        self.suspect_deadlines.values_mut().for_each(|at| *at = at.after(jump));
+        self.last_heard = self.last_heard.after(jump).min(now);
     }
 
-    /// Draws some members that are there, other than those left out.
-    fn some(&mut self, count: usize, which: impl Fn(&Claim) -> bool) -> Vec<Claim> {
+    /// Picks some members at random that are there, other than those left out.
+    fn pick_members(&mut self, count: usize, which: impl Fn(&Claim) -> bool) -> Vec<Claim> {
         let there: Vec<&Claim> =
             self.table.present().map(|seen| &seen.claim).filter(|claim| which(claim)).collect();
         let picks = self.random.choose_multiple(there, count);
@@ -187,16 +191,16 @@
     }
 
     fn gossip(&mut self) {
-        if self.news.is_empty() {
+        if self.gossip_queue.is_empty() {
             return;
         }
-        for to in self.some(HELPERS, |_| true) {
+        for to in self.pick_members(GOSSIP_FANOUT, |_| true) {
             self.send(to.address, Kind::Gossip, None);
         }
     }
 
     /// Asks one of those who fell silent, and, while nobody is there or a seed is not, a seed.
-    fn look_for_lost(&mut self) {
+    fn rejoin_lost(&mut self) {
         let silent: Vec<(String, SocketAddr)> = self
             .table
             .iter()
@@ -204,7 +208,7 @@
             .map(|seen| (seen.claim.name.clone(), seen.claim.address))
             .collect();
         if let Some((name, to)) = self.random.choice(silent) {
-            let number = self.number();
+            let number = self.next_probe_number();
             self.send(to, Kind::Ping { number, hears: false }, Some(&name));
         }
         let there = |seed: &&SocketAddr| self.table.present().any(|seen| seen.claim.address == **seed);
@@ -219,7 +223,7 @@
         self.own.standing = if moving { Standing::Moving } else { Standing::Left };
         self.own.incarnation += 1;
         self.orders.clear();
-        for to in self.some(FAREWELLS, |_| true) {
+        for to in self.pick_members(LEAVE_FANOUT, |_| true) {
             self.send(to.address, Kind::Gossip, None);
         }
         self.orders()
--- a/src/membership/node/beliefs.rs
+++ b/src/membership/node/beliefs.rs
@@ -1,7 +1,7 @@
 //! What is believed of members: the one place where that changes, the end of suspicions, and this member's answer to what
 //! is said of itself.
 
-use super::{HELPERS, Node};
+use super::{GOSSIP_FANOUT, Node};
 use crate::api::Time;
 use crate::membership::claim::{Claim, Kind, Standing};
 use crate::membership::order::Order;
@@ -9,13 +9,13 @@
 use std::time::Duration;
 
 /// Members who on average ask a newly suspected one at once, so that it hears of it.
-const HURRIED: f64 = 4.0;
+const URGENT_PROBES: f64 = 4.0;
 /// Times that news is passed on, for each doubling of the fleet.
-const REPEATS: u32 = 3;
+const GOSSIP_REPEATS: u32 = 3;
 /// A start further in the future is no start: nobody could take the name back from it.
-const AHEAD: Duration = Duration::from_secs(86_400);
+const MAX_START_AHEAD: Duration = Duration::from_secs(86_400);
 /// An incarnation that no member comes to.
-const MOST_INCARNATION: u32 = u32::MAX / 2;
+const MAX_INCARNATION: u32 = u32::MAX / 2;
 
 impl Node {
     /// The one place where what is known of a member changes.
@@ -27,51 +27,55 @@
         let Some(seen) = self.table.get(&claim.name) else { return };
         let (state, start) = (seen.state(), seen.claim.start);
         let doublings = u32::BITS - (self.table.iter().count() as u32 + 1).leading_zeros();
-        let lot = self.random.u64(..);
-        self.news.add(&claim.name, REPEATS * doublings, lot);
+        let tie_break = self.random.u64(..);
+        self.gossip_queue.add(&claim.name, GOSSIP_REPEATS * doublings, tie_break);
         if claim.standing == Standing::Suspect {
-            self.bury.entry(claim.name.clone()).or_insert(now.after(self.timing.bury));
-            let chance = HURRIED / self.table.present().count().max(1) as f64;
-            if !self.is_asked(&claim.name) && self.random.f64() < chance {
-                self.ask(now, &claim.name);
+            self.suspect_deadlines.entry(claim.name.clone()).or_insert(now.after(self.timing.bury));
+            let chance = URGENT_PROBES / self.table.present().count().max(1) as f64;
+            if !self.is_probed(&claim.name) && self.random.f64() < chance {
+                self.probe(now, &claim.name);
             }
         } else {
-            self.bury.remove(&claim.name);
+            self.suspect_deadlines.remove(&claim.name);
         }
         if before != Some((state, start)) {
-            self.tell(&claim.name, start, state);
+            self.report(&claim.name, start, state);
         }
     }
 
     /// Books how a member is reached.
-    pub(super) fn link(&mut self, name: &str, change: impl FnOnce(Link) -> Link) {
+    pub(super) fn update_link(&mut self, name: &str, change: impl FnOnce(Link) -> Link) {
         let Some(seen) = self.table.get_mut(name) else { return };
         let before = seen.state();
         seen.link = change(seen.link);
         let (state, start) = (seen.state(), seen.claim.start);
         if state != before && state != State::Joining {
-            self.tell(name, start, state);
+            self.report(name, start, state);
         }
     }
 
     /// Has people and records told of a member's state.
-    pub(super) fn tell(&mut self, name: &str, start: u64, state: State) {
+    pub(super) fn report(&mut self, name: &str, start: u64, state: State) {
         let name = name.to_owned();
         self.orders.push(Order::Tell(Change { name, start, state }));
     }
 
     /// Takes suspects that have not answered in time for dead.
-    pub(super) fn bury(&mut self, now: Time) {
-        let due: Vec<String> =
-            self.bury.iter().filter(|(_, at)| **at <= now).map(|(name, _)| name.clone()).collect();
+    pub(super) fn declare_dead(&mut self, now: Time) {
+        let due: Vec<String> = self
+            .suspect_deadlines
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(name, _)| name.clone())
+            .collect();
         let alone = self.alone(now);
         for name in due {
-            // Guards against burying the fleet from behind one's own cut.
+            // Guards against declaring the fleet dead from behind one's own partition.
             if alone {
-                self.bury.insert(name, now.after(self.timing.bury));
+                self.suspect_deadlines.insert(name, now.after(self.timing.bury));
                 continue;
             }
-            self.bury.remove(&name);
+            self.suspect_deadlines.remove(&name);
             let suspect = self.table.get(&name).filter(|seen| seen.claim.standing == Standing::Suspect);
             if let Some(claim) = suspect.map(|seen| seen.claim.as_is(Standing::Silent)) {
                 self.apply(now, &claim);
@@ -80,14 +84,14 @@
     }
 
     /// What is said of this one: it is there, whatever that says.
-    pub(super) fn about_self(&mut self, claim: &Claim) {
+    pub(super) fn refute(&mut self, claim: &Claim) {
         let ends = !self.own.standing.present() || self.own.standing == Standing::Moving;
         if ends || claim.start < self.own.start {
             return;
         }
         // What no incarnation answers is answered by a later start: another's use of the name, a farewell that this one
         // never said, an incarnation that nobody comes to.
-        let beyond = claim.standing == Standing::Left || claim.incarnation >= MOST_INCARNATION;
+        let beyond = claim.standing == Standing::Left || claim.incarnation >= MAX_INCARNATION;
         if claim.start > self.own.start || beyond {
             (self.own.start, self.own.incarnation) = (claim.start + 1, 0);
             self.orders.push(Order::Taken);
@@ -97,13 +101,13 @@
             return;
         }
         // It spreads with each message that it sends; these go out now.
-        for to in self.some(HELPERS, |_| true) {
+        for to in self.pick_members(GOSSIP_FANOUT, |_| true) {
             self.send(to.address, Kind::Gossip, None);
         }
     }
 
     /// Whether a claim is one that its member could answer; others come from nobody who means well.
     pub(super) fn answerable(now: Time, claim: &Claim) -> bool {
-        claim.start <= now.after(AHEAD).0 && claim.incarnation <= MOST_INCARNATION
+        claim.start <= now.after(MAX_START_AHEAD).0 && claim.incarnation <= MAX_INCARNATION
     }
 }
--- a/src/membership/node/messages.rs
+++ b/src/membership/node/messages.rs
@@ -17,7 +17,7 @@
         }
         let mut room = ROOM.saturating_sub(message.size());
         let table = &self.table;
-        self.news.pass_on(|name| {
+        self.gossip_queue.pass_on(|name| {
             // Who is forgotten is no news any more, and takes no room.
             let Some(seen) = table.get(name) else { return true };
             let Some(rest) = room.checked_sub(seen.claim.size()) else { return false };
@@ -43,7 +43,7 @@
             return;
         }
         if from.name == self.own.name {
-            return self.about_self(&from);
+            return self.refute(&from);
         }
         if let Some(seen) = self.table.get(&from.name).filter(|seen| seen.claim.start > from.start) {
             // An older process, or a datagram of it that was kept; or one whose clock was set back, which then hears of
@@ -53,11 +53,11 @@
             self.orders.push(Order::Send { to: from.address, message });
             return;
         }
-        self.heard = self.heard.max(now);
+        self.last_heard = self.last_heard.max(now);
         // One who was lost here until now tells what another half believed.
         let lost = self.table.get(&from.name).is_some_and(|seen| !seen.claim.standing.present());
         self.apply(now, &from);
-        self.met(now, &from);
+        self.mark_heard(now, &from);
         for claim in &claims {
             self.learn(now, claim, lost);
         }
@@ -68,7 +68,7 @@
     fn respond(&mut self, now: Time, kind: Kind, from: &Claim) {
         match kind {
             Kind::Ping { number, hears } => {
-                self.link(&from.name, |link| match (link, hears) {
+                self.update_link(&from.name, |link| match (link, hears) {
                     (Link::Relayed, _) => Link::Relayed,
                     (_, false) => Link::Deaf,
                     (_, true) => Link::Direct,
@@ -76,7 +76,7 @@
                 self.send(from.address, Kind::Ack { number }, Some(&from.name));
             }
             Kind::Ack { number } => self.answered(now, number, from),
-            Kind::Ask { number, target } => self.help(now, from.address, number, &target),
+            Kind::Ask { number, target } => self.probe_for(now, from.address, number, &target),
             Kind::Relayed { number, claim } => self.relayed(now, number, &claim),
             Kind::Gossip | Kind::Table => {}
         }
@@ -88,18 +88,18 @@
         if asked && claim.name != self.own.name {
             self.probes.remove(&number);
             self.learn(now, claim, false);
-            self.link(&claim.name, |_| Link::Relayed);
+            self.update_link(&claim.name, |_| Link::Relayed);
         }
     }
 
     /// A member was heard itself.
-    fn met(&mut self, now: Time, from: &Claim) {
+    fn mark_heard(&mut self, now: Time, from: &Claim) {
         let Some(seen) = self.table.get_mut(&from.name) else { return };
         let before = seen.state();
         seen.heard = Some(now);
         let (start, state) = (seen.claim.start, seen.state());
         if state != before {
-            self.tell(&from.name, start, state);
+            self.report(&from.name, start, state);
         }
     }
 
@@ -118,7 +118,7 @@
             return;
         }
         if claim.name == self.own.name {
-            return self.about_self(claim);
+            return self.refute(claim);
         }
         let believed = matches!(claim.standing, Standing::Silent | Standing::Dead);
         let unknown = self.table.get(&claim.name).is_none();
@@ -129,7 +129,7 @@
         // Whoever told a whole table has told others of it too: guards against a fleet that starts at once, each member
         // of which would pass the whole of it on.
         if whole && unknown {
-            self.news.drop(&claim.name);
+            self.gossip_queue.drop(&claim.name);
         }
     }
 }
--- a/src/membership/node/probing.rs
+++ b/src/membership/node/probing.rs
@@ -1,6 +1,6 @@
-//! Asking: which member is asked next, what is asked again and through others, and what an answer or its absence says.
+//! Probes: which member is probed next, which again and through others, and what an answer or its absence says.
 
-use super::{HELPERS, Node};
+use super::{INDIRECT_PROBES, Node};
 use crate::api::Time;
 use crate::membership::claim::{Claim, Kind, Standing};
 use crate::membership::order::{Knock, Order};
@@ -9,35 +9,35 @@
 use std::time::Duration;
 
 /// Part of a period between two refused connections that prove an end: the question they come from is open for all of it.
-const KNOCK_AGAIN: u32 = 5;
+const CONNECT_AGAIN: u32 = 5;
 /// How long a member that moves to another process is waited for.
-const MOVING: Duration = Duration::from_secs(10);
-/// Questions that one helps others with at once.
-const MOST_HELP: usize = 64;
-/// Part of a period after which a question is asked again, through others too.
-const ASK_AGAIN: u32 = 3;
+const HANDOVER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Probes that are sent for others at once.
+const MAX_INDIRECT_PROBES: usize = 64;
+/// Part of a period after which a member is probed again, through others too.
+const PROBE_AGAIN: u32 = 3;
 
-/// A question that is open.
+/// A probe that is not answered yet.
 pub(super) struct Probe {
-    /// Who is asked.
+    /// Who is probed.
     pub name: String,
     start: u64,
     sent: Time,
-    /// It was asked again, through others too.
+    /// It was sent again, through others too.
     again: bool,
     /// Its machine has refused a connection since; when it is tried once more, and whether it has been.
     refused: Option<(Time, bool)>,
 }
 
 impl Probe {
-    /// When it is next to be [pursued](Node::pursue), in a protocol of this period.
+    /// When it is next to be [followed up](Node::follow_up_due), in a protocol of this period.
     pub fn due(&self, period: Duration) -> Time {
-        let due = self.sent.after(if self.again { period } else { period / ASK_AGAIN });
+        let due = self.sent.after(if self.again { period } else { period / PROBE_AGAIN });
         self.refused.filter(|(_, tried)| !tried).map_or(due, |(at, _)| due.min(at))
     }
 
     /// Whether a refused connection is to be tried once more now; it is said once.
-    fn knocks_again(&mut self, now: Time) -> bool {
+    fn retries_connection(&mut self, now: Time) -> bool {
         match &mut self.refused {
             Some((at, tried)) if !*tried && *at <= now => {
                 *tried = true;
@@ -49,13 +49,13 @@
 }
 
 impl Node {
-    /// Whether a question to this member is open.
-    pub(super) fn is_asked(&self, name: &str) -> bool {
+    /// Whether a probe of this member is open.
+    pub(super) fn is_probed(&self, name: &str) -> bool {
         self.probes.values().any(|probe| probe.name == name)
     }
 
-    /// Asks the next member of the round; of a new one, in an order drawn for it, where that is through.
-    pub(super) fn ask_next(&mut self, now: Time) {
+    /// Probes the next member of the round; of a new one, in a random order, where that is through.
+    pub(super) fn probe_next(&mut self, now: Time) {
         loop {
             if self.round.is_empty() {
                 self.round = self.table.present().map(|seen| seen.claim.name.clone()).collect();
@@ -65,10 +65,10 @@
                 }
             }
             let Some(name) = self.round.pop() else { return };
-            if !self.is_asked(&name)
+            if !self.is_probed(&name)
                 && self.table.get(&name).is_some_and(|seen| seen.claim.standing.present())
             {
-                return self.ask(now, &name);
+                return self.probe(now, &name);
             }
             if self.round.is_empty() {
                 return;
@@ -76,32 +76,32 @@
         }
     }
 
-    /// Asks a member whether it is there.
-    pub(super) fn ask(&mut self, now: Time, name: &str) {
+    /// Probes a member.
+    pub(super) fn probe(&mut self, now: Time, name: &str) {
         let Some(seen) = self.table.get(name) else { return };
         let (start, to, hears) = (seen.claim.start, seen.claim.address, seen.link != Link::Relayed);
-        let number = self.number();
+        let number = self.next_probe_number();
         let probe = Probe { name: name.to_owned(), start, sent: now, again: false, refused: None };
         self.probes.insert(number, probe);
         self.send(to, Kind::Ping { number, hears }, Some(name));
     }
 
-    /// The number of the next question.
-    pub(super) fn number(&mut self) -> u32 {
-        self.number = self.number.wrapping_add(1);
-        self.number
+    /// The number of the next probe.
+    pub(super) fn next_probe_number(&mut self) -> u32 {
+        self.last_probe_number = self.last_probe_number.wrapping_add(1);
+        self.last_probe_number
     }
 
-    /// Asks again whom it did not hear, and concludes where that was in vain.
-    pub(super) fn pursue(&mut self, now: Time) {
+    /// Probes again whom it did not hear, and concludes where that was in vain.
+    pub(super) fn follow_up_due(&mut self, now: Time) {
         let period = self.timing.period;
         let due = self.probes.iter().filter(|(_, probe)| probe.due(period) <= now);
         for number in due.map(|(number, _)| *number).collect::<Vec<_>>() {
-            self.pursue_one(now, number);
+            self.follow_up(now, number);
         }
     }
 
-    fn pursue_one(&mut self, now: Time, number: u32) {
+    fn follow_up(&mut self, now: Time, number: u32) {
         let Some(probe) = self.probes.get_mut(&number) else { return };
         let (name, start) = (probe.name.clone(), probe.start);
         let Some(seen) = self.table.get(&name).filter(|seen| seen.claim.start == start) else {
@@ -109,7 +109,7 @@
             return;
         };
         let (address, hears) = (seen.claim.address, seen.link != Link::Relayed);
-        if probe.knocks_again(now) {
+        if probe.retries_connection(now) {
             self.orders.push(Order::Knock { name: name.clone(), start, address });
             if probe.due(self.timing.period) > now {
                 return;
@@ -117,19 +117,19 @@
         }
         if std::mem::replace(&mut probe.again, true) {
             self.probes.remove(&number);
-            return self.unheard(now, &name);
+            return self.suspect(now, &name);
         }
         self.send(address, Kind::Ping { number, hears }, Some(&name));
         self.orders.push(Order::Knock { name: name.clone(), start, address });
-        for helper in self.some(HELPERS, |claim| claim.name != name) {
+        for helper in self.pick_members(INDIRECT_PROBES, |claim| claim.name != name) {
             self.send(helper.address, Kind::Ask { number, target: name.clone() }, None);
         }
     }
 
     /// A member answered neither this one nor a helper.
-    fn unheard(&mut self, now: Time, name: &str) {
+    fn suspect(&mut self, now: Time, name: &str) {
         let Some(seen) = self.table.get(name) else { return };
-        if is_moving(now, seen) || self.alone(now) {
+        if is_handing_over(now, seen) || self.alone(now) {
             return;
         }
         if matches!(seen.claim.standing, Standing::Alive | Standing::Moving) {
@@ -138,39 +138,39 @@
         }
     }
 
-    /// A member has answered a question, one of this member or one asked for another.
+    /// A member has answered a probe, one of this member or one sent for another.
     pub(super) fn answered(&mut self, now: Time, number: u32, from: &Claim) {
-        if let Some((to, number, _)) = self.helping.remove(&number) {
+        if let Some((to, number, _)) = self.indirect_probes.remove(&number) {
             return self.send(to, Kind::Relayed { number, claim: from.clone() }, None);
         }
         if self.probes.get(&number).is_some_and(|probe| probe.name == from.name) {
             self.probes.remove(&number);
         }
-        self.link(&from.name, |link| if link == Link::Relayed { Link::Direct } else { link });
+        self.update_link(&from.name, |link| if link == Link::Relayed { Link::Direct } else { link });
         let known = self.table.get(&from.name).map(|seen| seen.claim.standing);
         // It answers, and does not know yet that it is suspected: it is to hear of it at once.
-        if known == Some(Standing::Suspect) && !self.is_asked(&from.name) {
-            self.ask(now, &from.name);
+        if known == Some(Standing::Suspect) && !self.is_probed(&from.name) {
+            self.probe(now, &from.name);
         }
     }
 
-    /// Asks a member for another that does not hear it.
-    pub(super) fn help(&mut self, now: Time, asker: SocketAddr, number: u32, target: &str) {
+    /// Probes a member for another that does not hear it.
+    pub(super) fn probe_for(&mut self, now: Time, asker: SocketAddr, number: u32, target: &str) {
         let Some(seen) = self.table.get(target) else { return };
         // Guards against work without end for others.
-        if self.helping.len() >= MOST_HELP {
+        if self.indirect_probes.len() >= MAX_INDIRECT_PROBES {
             return;
         }
         let (to, hears) = (seen.claim.address, seen.link != Link::Relayed);
-        let own = self.number();
-        self.helping.insert(own, (asker, number, now));
+        let own = self.next_probe_number();
+        self.indirect_probes.insert(own, (asker, number, now));
         self.send(to, Kind::Ping { number: own, hears }, Some(target));
     }
 
     /// How an attempt to connect ended. Two refusals within one question that stays open prove an end.
     pub fn knocked(&mut self, now: Time, name: &str, start: u64, end: Knock) {
         let Some(seen) = self.table.get(name).filter(|seen| seen.claim.start == start) else { return };
-        if end != Knock::Refused || is_moving(now, seen) || !seen.claim.standing.present() {
+        if end != Knock::Refused || is_handing_over(now, seen) || !seen.claim.standing.present() {
             return;
         }
         let dead = seen.claim.as_is(Standing::Dead);
@@ -179,13 +179,13 @@
         let Some(probe) = open else { return };
         match probe.refused {
             // Guards against one that was about to listen again: twice, a moment apart.
-            None => probe.refused = Some((now.after(self.timing.period / KNOCK_AGAIN), false)),
+            None => probe.refused = Some((now.after(self.timing.period / CONNECT_AGAIN), false)),
             Some(_) => self.apply(now, &dead),
         }
     }
 }
 
 /// Whether a member moves to another process, and is waited for.
-fn is_moving(now: Time, seen: &Seen) -> bool {
-    seen.claim.standing == Standing::Moving && now.since(seen.since) < MOVING
+fn is_handing_over(now: Time, seen: &Seen) -> bool {
+    seen.claim.standing == Standing::Moving && now.since(seen.since) < HANDOVER_TIMEOUT
 }
