--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -8,7 +8,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -212,6 +212,24 @@
     }
 }
 
+/// The library of faults (`tools/faults/faults.c`), built once for each test program.
+pub fn faults_library() -> PathBuf {
+    static BUILT: OnceLock<PathBuf> = OnceLock::new();
+    let build = || {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let (new, library) =
+            (folder.join(format!("faults-{}.so", std::process::id())), folder.join("faults.so"));
+        let source = concat!(env!("CARGO_MANIFEST_DIR"), "/tools/faults/faults.c");
+        let mut compiler = Command::new("cc");
+        compiler.args(["-O2", "-shared", "-fPIC", "-o"]).arg(&new).args([source, "-ldl"]);
+        assert!(compiler.status().expect("a C compiler").success());
+        // Another test program may be loading the one that is there.
+        std::fs::rename(&new, &library).expect("renamed");
+        library
+    };
+    BUILT.get_or_init(build).clone()
+}
+
 /// A process of the program.
 pub struct Gatherer {
     pub child: Child,
@@ -257,15 +275,41 @@
         Gatherer::spawn(&file, config, scratch, operator)
     }
 
+    /// The same with the library of faults preloaded; `faults` says which, and `switch` is the file while which is there
+    /// they happen.
+    pub fn begin_with_faults(
+        folder: &Folder,
+        config: &serde_json::Value,
+        faults: &str,
+        switch: Option<&Path>,
+    ) -> Gatherer {
+        let file = folder.0.join(format!("config-{}.json", fastrand::u64(..)));
+        std::fs::write(&file, config.to_string()).expect("written");
+        let mut variables = vec![("LD_PRELOAD", faults_library()), ("FAULTS", faults.into())];
+        variables.extend(switch.map(|switch| ("FAULTS_SWITCH", switch.to_owned())));
+        Gatherer::spawn_in(&file, config, folder, None, &variables)
+    }
+
     /// Starts it on a file that says what `config` does, or will.
     pub fn spawn(
         file: &Path,
         config: &serde_json::Value,
         scratch: &Folder,
         operator: Option<&str>,
+    ) -> Gatherer {
+        Gatherer::spawn_in(file, config, scratch, operator, &[])
+    }
+
+    fn spawn_in(
+        file: &Path,
+        config: &serde_json::Value,
+        scratch: &Folder,
+        operator: Option<&str>,
+        variables: &[(&str, PathBuf)],
     ) -> Gatherer {
         let mut command = Command::new(env!("CARGO_BIN_EXE_clayshore"));
         command.env_clear().env("LB_CONFIG", file).env("TMPDIR", &scratch.0).stderr(Stdio::piped());
+        command.envs(variables.iter().map(|(name, value)| (name, value)));
         if let Some(text) = operator {
             let file = file.with_extension("toml");
             std::fs::write(&file, text).expect("written");
--- a/tests/workers.rs
+++ b/tests/workers.rs
@@ -223,3 +223,40 @@
     });
     assert_eq!(calls.collect::<Vec<_>>(), [2, 2, 1]);
 }
+
+/// Connections that come up late, to workers that keep what they are sent.
+struct Late(Duration, RefCell<Vec<DuplexStream>>);
+
+impl Dial for Late {
+    fn dial<'a>(&'a self, _address: &'a str) -> Dialling<'a> {
+        Box::pin(async move {
+            tokio::time::sleep(self.0).await;
+            let (near, far) = tokio::io::duplex(1 << 16);
+            self.1.borrow_mut().push(far);
+            Ok(Box::new(near) as Box<dyn Stream>)
+        })
+    }
+}
+
+#[test]
+fn the_time_told_to_a_worker_counts_the_wait_for_its_connection() {
+    // The platform allows 0.15 s more than is left; the connection here comes up 0.2 s after the part was sent.
+    let late = Rc::new(Late(Duration::from_millis(200), RefCell::default()));
+    run_on(late.clone(), |broker, _| async move {
+        let asked = broker.clone();
+        let mut ask = ask("late", "search", 1, &broker);
+        ask.left = Duration::from_millis(1000);
+        let client = spawn_local(async move { asked.ask(ask).await });
+        while late.1.borrow().is_empty() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let mut far = late.1.borrow_mut().pop().expect("a connection");
+        let mut frame = BytesMut::new();
+        far.read_buf(&mut frame).await.expect("a frame");
+        let text = String::from_utf8_lossy(&frame[5..]).into_owned();
+        let told = text.split(" d=").nth(1).and_then(|rest| rest.split(' ').next()).expect("a time");
+        let told: u64 = told.parse().expect("milliseconds");
+        assert!(told <= 800, "800 ms are left to the client, and the worker is told {told}: {text:?}");
+        client.abort();
+    });
+}
--- /dev/null
+++ b/tools/faults/faults.c
@@ -0,0 +1,270 @@
+/*
+ * A library to preload into a gatherer under test: it makes system calls fail, end early or be interrupted, as Linux
+ * documents that they may, and steps the wall clock. It changes nothing outside the process that loads it.
+ *
+ * FAULTS        NAME=VALUE,... : what happens and how often (see `struct plan`); probabilities lie between 0 and 1
+ * FAULTS_SWITCH a path: faults happen only while that file is there
+ *
+ * Draws come from the seed alone, so that a run with one thread can be played again.
+ */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <stdarg.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+
+/* Probability of each fault, and its sizes. */
+struct plan {
+    double short_read, short_write, interrupt, wait_interrupt;
+    double accept, connect, socket, bind, broken;
+    double open, file_write, file_sync;
+    double read_bytes, write_bytes;
+    double wall_step_s, wall_period_ms;
+    double on_ms, period_ms;
+    double seed;
+};
+
+static struct plan plan = {.read_bytes = 64, .write_bytes = 16};
+static const char *switch_path;
+static uint64_t state;
+static int64_t began_ms, looked_ms = -1000000;
+static int switched_on;
+
+#define REAL(name) \
+    static __typeof__(&name) real; \
+    if (!real) real = (__typeof__(&name))dlsym(RTLD_NEXT, #name)
+
+static int64_t monotonic_ms(void) {
+    static int (*real)(clockid_t, struct timespec *);
+    if (!real) real = (int (*)(clockid_t, struct timespec *))dlsym(RTLD_NEXT, "clock_gettime");
+    struct timespec now;
+    real(CLOCK_MONOTONIC, &now);
+    return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+static void set(const char *name, double value) {
+#define FIELD(field) if (!strcmp(name, #field)) plan.field = value
+    FIELD(short_read); FIELD(short_write); FIELD(interrupt); FIELD(wait_interrupt);
+    FIELD(accept); FIELD(connect); FIELD(socket); FIELD(bind); FIELD(broken);
+    FIELD(open); FIELD(file_write); FIELD(file_sync);
+    FIELD(read_bytes); FIELD(write_bytes);
+    FIELD(wall_step_s); FIELD(wall_period_ms);
+    FIELD(on_ms); FIELD(period_ms);
+    FIELD(seed);
+}
+
+__attribute__((constructor)) static void begin(void) {
+    began_ms = monotonic_ms();
+    switch_path = getenv("FAULTS_SWITCH");
+    const char *text = getenv("FAULTS");
+    char copy[1024], *rest = NULL;
+    snprintf(copy, sizeof copy, "%s", text ? text : "");
+    for (char *pair = strtok_r(copy, ",", &rest); pair; pair = strtok_r(NULL, ",", &rest)) {
+        char *equals = strchr(pair, '=');
+        if (!equals) continue;
+        *equals = 0;
+        set(pair, atof(equals + 1));
+    }
+    state = ((uint64_t)plan.seed + 1) * 0x9e3779b97f4a7c15ull;
+}
+
+/* Whether faults happen now: by the switch, and in the first `on_ms` of each `period_ms`. */
+static int is_on(void) {
+    int64_t now = monotonic_ms();
+    if (switch_path && now - looked_ms >= 2) {
+        looked_ms = now;
+        switched_on = access(switch_path, F_OK) == 0;
+    }
+    if (switch_path && !switched_on) return 0;
+    if (plan.period_ms <= 0) return 1;
+    return (double)((now - began_ms) % (int64_t)plan.period_ms) < plan.on_ms;
+}
+
+static double draw(void) {
+    state ^= state << 13;
+    state ^= state >> 7;
+    state ^= state << 17;
+    return (double)(state >> 11) / 9007199254740992.0;
+}
+
+static int happens(double probability) {
+    int saved = errno;
+    int does = probability > 0 && is_on() && draw() < probability;
+    errno = saved;
+    return does;
+}
+
+static int is_socket(int fd) {
+    int saved = errno;
+    struct stat about;
+    int is = fstat(fd, &about) == 0 && S_ISSOCK(about.st_mode);
+    errno = saved;
+    return is;
+}
+
+static int is_file(int fd) {
+    struct stat about;
+    return fd > 2 && fstat(fd, &about) == 0 && S_ISREG(about.st_mode);
+}
+
+static int fails(int code) {
+    errno = code;
+    return -1;
+}
+
+/* One of these, by lot. */
+static int one_of(const int *codes, int count) {
+    return codes[(int)(draw() * count) % count];
+}
+
+static size_t shorter(size_t wanted, double most) {
+    size_t limit = (size_t)most;
+    return wanted > limit ? limit : wanted;
+}
+
+#define READ_FAULTS(fd, length) \
+    if (is_socket(fd)) { \
+        if (happens(plan.interrupt)) return fails(EINTR); \
+        if (happens(plan.broken)) return fails(draw() < 0.5 ? ETIMEDOUT : EHOSTUNREACH); \
+        if (happens(plan.short_read)) length = shorter(length, plan.read_bytes); \
+    }
+
+#define WRITE_FAULTS(fd, length) \
+    if (is_socket(fd)) { \
+        if (happens(plan.interrupt)) return fails(EINTR); \
+        if (happens(plan.short_write)) length = shorter(length, plan.write_bytes); \
+    } else if (plan.file_write > 0 && is_file(fd) && happens(plan.file_write)) { \
+        return fails(draw() < 0.5 ? ENOSPC : EIO); \
+    }
+
+ssize_t read(int fd, void *to, size_t length) {
+    REAL(read);
+    READ_FAULTS(fd, length);
+    return real(fd, to, length);
+}
+
+ssize_t recv(int fd, void *to, size_t length, int flags) {
+    REAL(recv);
+    if (!(flags & MSG_PEEK)) { READ_FAULTS(fd, length); }
+    return real(fd, to, length, flags);
+}
+
+ssize_t readv(int fd, const struct iovec *parts, int count) {
+    REAL(readv);
+    if (is_socket(fd) && happens(plan.interrupt)) return fails(EINTR);
+    return real(fd, parts, count);
+}
+
+ssize_t write(int fd, const void *from, size_t length) {
+    REAL(write);
+    WRITE_FAULTS(fd, length);
+    return real(fd, from, length);
+}
+
+ssize_t send(int fd, const void *from, size_t length, int flags) {
+    REAL(send);
+    WRITE_FAULTS(fd, length);
+    return real(fd, from, length, flags);
+}
+
+ssize_t writev(int fd, const struct iovec *parts, int count) {
+    REAL(writev);
+    if (is_socket(fd) && happens(plan.interrupt)) return fails(EINTR);
+    return real(fd, parts, count);
+}
+
+int accept4(int fd, struct sockaddr *from, socklen_t *length, int flags) {
+    REAL(accept4);
+    static const int codes[] = {ECONNABORTED, ENFILE, EMFILE, ENOBUFS, EINTR};
+    if (happens(plan.accept)) return fails(one_of(codes, 5));
+    return real(fd, from, length, flags);
+}
+
+int connect(int fd, const struct sockaddr *to, socklen_t length) {
+    REAL(connect);
+    static const int codes[] = {EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EINTR};
+    if (happens(plan.connect)) return fails(one_of(codes, 4));
+    return real(fd, to, length);
+}
+
+int socket(int family, int kind, int protocol) {
+    REAL(socket);
+    static const int codes[] = {ENFILE, ENOBUFS, EMFILE};
+    if (happens(plan.socket)) return fails(one_of(codes, 3));
+    return real(family, kind, protocol);
+}
+
+int bind(int fd, const struct sockaddr *at, socklen_t length) {
+    REAL(bind);
+    if (happens(plan.bind)) return fails(ENOBUFS);
+    return real(fd, at, length);
+}
+
+int epoll_wait(int fd, struct epoll_event *events, int most, int timeout) {
+    REAL(epoll_wait);
+    if (happens(plan.wait_interrupt)) return fails(EINTR);
+    return real(fd, events, most, timeout);
+}
+
+static int open_fails(const char *path) {
+    static const int codes[] = {ENFILE, EIO};
+    /* Libraries that are being loaded and the system's own files are left alone. */
+    int own = strncmp(path, "/proc", 5) && strncmp(path, "/etc", 4) && strncmp(path, "/usr", 4) && strncmp(path, "/lib", 4);
+    return own && happens(plan.open) ? one_of(codes, 2) : 0;
+}
+
+int open64(const char *path, int flags, ...) {
+    REAL(open64);
+    va_list rest;
+    va_start(rest, flags);
+    mode_t mode = va_arg(rest, mode_t);
+    va_end(rest);
+    int code = open_fails(path);
+    return code ? fails(code) : real(path, flags, mode);
+}
+
+int open(const char *path, int flags, ...) {
+    REAL(open);
+    va_list rest;
+    va_start(rest, flags);
+    mode_t mode = va_arg(rest, mode_t);
+    va_end(rest);
+    int code = open_fails(path);
+    return code ? fails(code) : real(path, flags, mode);
+}
+
+int fsync(int fd) {
+    REAL(fsync);
+    if (happens(plan.file_sync)) return fails(EIO);
+    return real(fd);
+}
+
+int fdatasync(int fd) {
+    REAL(fdatasync);
+    if (happens(plan.file_sync)) return fails(EIO);
+    return real(fd);
+}
+
+/* Steps the wall clock to another place within `wall_step_s` of the true time, each `wall_period_ms`. */
+int clock_gettime(clockid_t clock, struct timespec *now) {
+    REAL(clock_gettime);
+    int done = real(clock, now);
+    if (done || clock != CLOCK_REALTIME || plan.wall_step_s <= 0 || !is_on()) return done;
+    int64_t step = plan.wall_period_ms > 0 ? (monotonic_ms() - began_ms) / (int64_t)plan.wall_period_ms : 0;
+    uint64_t mixed = ((uint64_t)plan.seed + 1 + (uint64_t)step) * 0x9e3779b97f4a7c15ull;
+    mixed ^= mixed >> 29;
+    double place = (double)(mixed >> 11) / 9007199254740992.0 * 2 - 1;
+    now->tv_sec += (time_t)(place * plan.wall_step_s);
+    return 0;
+}
