One guard each for sending, ending and closing, with a count of what breaks it

A broken rule is a log line with the query and attempt and counts in /-/metrics (violations.NAME) and /_counters. What would break a rule in sending ends as never sent; an answer under its floor fails; one marked whole unduly is given as partial. New counts beside them: why an attempt follows another (resent_hedged, resent_unrun, resent_failed), how clients' and workers' connections end, stage transitions in the log. Each invariant has a test that breaks it (tests/invariants.rs).

--- a/examples/flood.rs
+++ b/examples/flood.rs
@@ -3,6 +3,7 @@
 
 use clayshore::limits::Plan;
 use clayshore::protocol::http::{Malformed, Request, Response};
+use clayshore::routing::Invariant;
 use clayshore::transport::gate::Gate;
 use clayshore::transport::listener::{Front, accept};
 use clayshore::transport::places::Places;
@@ -33,6 +34,12 @@
     fn caller<'a>(&self, _request: &'a Request) -> Option<&'a str> {
         None
     }
+    fn label<'a>(&self, _request: &'a Request) -> Option<&'a str> {
+        None
+    }
+    fn violated(&self, invariant: Invariant, concerns: &str) {
+        eprintln!("{}: {concerns}", invariant.name());
+    }
 }
 
 /// Processor time of this thread so far.
--- a/src/fronts/mod.rs
+++ b/src/fronts/mod.rs
@@ -10,6 +10,8 @@
 
 /// All counts since the start, a line each: of queries and attempts, and of connections.
 pub fn counts(broker: &Broker, gate: &Gate) -> String {
-    let queries = broker.core(|core| core.counters.to_string());
-    format!("counters: {queries}\nconnections: {}", gate.places().tally.borrow())
+    let (queries, violations) =
+        broker.core(|core| (core.counters.to_string(), core.violations().to_string()));
+    let connections = gate.places().tally.borrow();
+    format!("counters: {queries}\nconnections: {connections}\nviolations: {violations}")
 }
--- a/src/fronts/opensearch.rs
+++ b/src/fronts/opensearch.rs
@@ -6,7 +6,7 @@
 use crate::protocol::opensearch::{self, Fault, Merged, Search};
 use crate::routing::idempotency::{Bounds, Claim, IdempotencyStore};
 use crate::routing::scroll_contexts::ScrollContexts;
-use crate::routing::{Ask, AskPart, Broker, Clock, Refusal, Verdict};
+use crate::routing::{Ask, AskPart, Broker, Clock, Invariant, Refusal, Verdict};
 use crate::transport::gate::Gate;
 use crate::transport::listener::Front;
 use bytes::Bytes;
@@ -362,4 +362,12 @@
     fn caller<'a>(&self, request: &'a Request) -> Option<&'a str> {
         request.headers.get("X-Opaque-Id")
     }
+
+    fn label<'a>(&self, request: &'a Request) -> Option<&'a str> {
+        request.headers.get("Idempotency-Key")
+    }
+
+    fn violated(&self, invariant: Invariant, concerns: &str) {
+        self.broker.violated(invariant, concerns);
+    }
 }
--- a/src/fronts/operators.rs
+++ b/src/fronts/operators.rs
@@ -3,6 +3,7 @@
 use crate::protocol::http::{Request, Response};
 use crate::protocol::statsd;
 use crate::routing::Broker;
+use crate::routing::invariants::INVARIANTS;
 use crate::service::Stage;
 use crate::service::stage::Call;
 use crate::transport::desk::Desk;
@@ -70,6 +71,9 @@
                 lines.count(&["aborted", class], ends.aborted);
             }
             lines.count(&["forwards"], core.counters.written);
+            for invariant in INVARIANTS {
+                lines.count(&["violations", invariant.name()], core.violations().of(invariant));
+            }
             lines.gauge(&["outstanding"], core.open() as u64);
             lines.gauge(&["discovered"], core.listed() as u64);
             lines.gauge(&["ejected"], core.avoided() as u64);
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -3,7 +3,7 @@
 use super::counts;
 use crate::protocol::http::{Malformed, Request, Response};
 use crate::protocol::platform;
-use crate::routing::Broker;
+use crate::routing::{Broker, Invariant};
 use crate::service::Stage;
 use crate::transport::gate::Gate;
 use crate::transport::listener::Front;
@@ -85,4 +85,12 @@
     fn caller<'a>(&self, request: &'a Request) -> Option<&'a str> {
         request.headers.get("X-Caller")
     }
+
+    fn label<'a>(&self, request: &'a Request) -> Option<&'a str> {
+        request.headers.get("X-Call-Id")
+    }
+
+    fn violated(&self, invariant: Invariant, concerns: &str) {
+        self.broker.violated(invariant, concerns);
+    }
 }
--- a/src/limits/tally.rs
+++ b/src/limits/tally.rs
@@ -19,6 +19,16 @@
     pub spared: u64,
     /// Closes that crossed a request all the same.
     pub crossed: u64,
+    /// Clients that closed their connection while a query was open on it.
+    pub gone_waiting: u64,
+    /// Clients that closed it in the middle of a request.
+    pub gone_half: u64,
+    /// Clients that closed it between requests.
+    pub gone_idle: u64,
+    /// Clients that could no longer be written their answer.
+    pub gone_answered: u64,
+    /// Clients that did not take their answer in time.
+    pub not_taken: u64,
     /// Queries refused because a firm place would have touched what another side was promised.
     pub unpinned: u64,
     /// Connections to servers begun.
@@ -27,6 +37,12 @@
     pub not_opened: u64,
     /// Connections to servers given up for another side's sake, or another server's.
     pub lines_gave_way: u64,
+    /// Connections to servers that ended: closed by either side, cut for what came on them, never opened.
+    pub lines_closed: u64,
+    /// Of these, cut because what came on them could not be trusted.
+    pub lines_untrusted: u64,
+    /// Connections to servers that were never opened: no place or no time was left.
+    pub lines_unopened: u64,
     /// Accepts that failed.
     pub accept_failed: u64,
     /// The most that each side held.
@@ -63,6 +79,14 @@
         write!(out, " gave_way={} spared={} crossed={}", self.gave_way, self.spared, self.crossed)?;
         write!(out, " unpinned={} opened={} not_opened={}", self.unpinned, self.opened, self.not_opened)?;
         write!(out, " lines_gave_way={} accept_failed={}", self.lines_gave_way, self.accept_failed)?;
+        write!(
+            out,
+            " gone_waiting={} gone_half={} gone_idle={}",
+            self.gone_waiting, self.gone_half, self.gone_idle
+        )?;
+        write!(out, " gone_answered={} not_taken={}", self.gone_answered, self.not_taken)?;
+        write!(out, " lines_closed={} lines_untrusted={}", self.lines_closed, self.lines_untrusted)?;
+        write!(out, " lines_unopened={}", self.lines_unopened)?;
         for side in SIDES {
             write!(out, " most_{side}={}", self.most_held[side as usize])?;
         }
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -15,7 +15,7 @@
 use crate::fronts::platform::Platform;
 use crate::limits::{Backoff, Side};
 use crate::records::line::Body;
-use crate::routing::{Broker, Carrier, Clock, Contracts, Core};
+use crate::routing::{Broker, Carrier, Clock, Contracts, Core, Invariant};
 use crate::service::stage::Call;
 use crate::transport::desk;
 use crate::transport::gate::Gate;
@@ -316,6 +316,10 @@
     let answered = tokio::time::timeout(longest + SLACK, all_answered).await.is_ok();
     if !answered {
         log::warn!("stopped with {} connections open", gate.open());
+        let open = broker.core(|core| core.open());
+        if open > 0 {
+            broker.violated(Invariant::ClosedAnswered, &format!("the process ends with {open} queries open"));
+        }
     }
     answered
 }
--- a/src/protocol/frame.rs
+++ b/src/protocol/frame.rs
@@ -1,6 +1,6 @@
 //! Frames between gatherers and workers: a four-byte length, least significant byte first, a letter, the rest.
 
-use crate::api::{Field, Outcome, Report};
+use crate::api::{Field, Outcome, Report, Time};
 use crate::routing::Dispatch;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
@@ -53,11 +53,11 @@
     bytes.freeze()
 }
 
-/// One call for these parts.
-pub fn call(parts: &[Dispatch]) -> Bytes {
+/// One call for these parts, as it is told to a worker at this time.
+pub fn call(parts: &[Dispatch], now: Time) -> Bytes {
     let mut rest = BytesMut::new();
     for part in parts {
-        let (id, wait) = (part_id(&part.label, part.shard.0), part.timeout.as_millis());
+        let (id, wait) = (part_id(&part.label, part.shard.0), part.time_left(now).as_millis());
         rest.put_slice(format!("{id} {} d={wait} {}\n", part.shard.0, part.text.len()).as_bytes());
         rest.put_slice(&part.text);
     }
--- a/src/routing/attempt.rs
+++ b/src/routing/attempt.rs
@@ -1,6 +1,7 @@
 //! An attempt to have one part of a query answered: its name, what a transport carries, and how it ended. Plain values,
 //! which hold no state of the broker.
 
+use super::invariants::SendPermit;
 use crate::api::*;
 use bytes::Bytes;
 use std::sync::Arc;
@@ -26,13 +27,24 @@
     pub shard: ShardId,
     /// What it carries.
     pub text: Bytes,
-    /// How long it will be waited for.
-    pub timeout: Duration,
     /// It may not run a second time: what spoils the answers of others is not to spoil its own.
     pub at_most_once: bool,
+    /// The right to send it, with the time for which it is waited for.
+    pub permit: SendPermit,
+}
+
+impl Dispatch {
+    /// How long it will be waited for from now on. What a worker is told is reckoned at the moment of writing: the wait
+    /// for a connection is over by then.
+    pub fn time_left(&self, now: Time) -> Duration {
+        self.permit.deadline().since(now)
+    }
+
     /// For so long the last byte of its frame may be written; `None` where any time will do. It is a further attempt of
     /// a part whose repeats are dropped only for a while after the first that may have run.
-    pub window: Option<Duration>,
+    pub fn window(&self) -> Option<Duration> {
+        self.permit.window()
+    }
 }
 
 /// How an attempt ended, as a transport reports it.
--- a/src/routing/broker.rs
+++ b/src/routing/broker.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{Dispatch, End, Ticket};
 use super::core::Core;
+use super::invariants::Invariant;
 use super::order::Order;
 use super::query::{Ask, Verdict};
 use super::worker_registry::Listing;
@@ -89,6 +90,17 @@
         Broker(Rc::new(Inner { core, waiting, news: Notify::new(), clock }))
     }
 
+    /// The time, as all deadlines here have it.
+    pub fn now(&self) -> Time {
+        self.0.clock.now()
+    }
+
+    /// A rule was broken outside the core.
+    pub fn violated(&self, invariant: Invariant, concerns: &str) {
+        self.0.core.borrow_mut().count_violation(invariant);
+        log::error!("invariant {} is broken: {concerns}", invariant.name());
+    }
+
     /// Reads or counts in the core; not to be held.
     pub fn core<T>(&self, read: impl FnOnce(&mut Core) -> T) -> T {
         read(&mut self.0.core.borrow_mut())
@@ -168,6 +180,7 @@
                 }
             }
             Order::Trace(text) => log::info!("module: {text}"),
+            Order::Alarm(text) => log::error!("{text}"),
         }
     }
 }
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -11,6 +11,7 @@
 use super::contracts::Contracts;
 use super::counters::{ClassEnds, Counters, Ends, outcome_name};
 use super::in_flight::{InFlight, SentAttempt};
+use super::invariants::{Invariant, Violations};
 use super::open_queries::{OpenPart, OpenQueries, OpenQuery};
 use super::order::Order;
 use super::query::{Ask, AskPart, Refusal, Verdict};
@@ -43,6 +44,8 @@
     heard_discovery: bool,
     /// What it has counted so far.
     pub counters: Counters,
+    /// How often each rule was broken, or would have been.
+    violations: Violations,
     /// How the queries of each class ended.
     ends: ClassEnds,
     /// The same by class, tenant and worker, for the records; `None` where there are none.
@@ -70,6 +73,7 @@
             processes: 1,
             heard_discovery: false,
             counters: Counters::default(),
+            violations: Violations::default(),
             figures: None,
             news: Vec::new(),
             states: WorkerStates::default(),
@@ -96,6 +100,22 @@
         self.ends.all()
     }
 
+    /// How often each rule was broken, or would have been.
+    pub fn violations(&self) -> &Violations {
+        &self.violations
+    }
+
+    /// A rule was broken, or would have been.
+    pub fn count_violation(&mut self, invariant: Invariant) {
+        self.violations.count(invariant);
+    }
+
+    /// A rule was broken, or would have been: counts it, and has it told with what it concerns.
+    pub(super) fn violated(&mut self, invariant: Invariant, concerns: &str) {
+        self.count_violation(invariant);
+        self.orders.push(Order::Alarm(format!("invariant {} is broken: {concerns}", invariant.name())));
+    }
+
     fn number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
@@ -145,7 +165,7 @@
         let id = RequestId(self.number());
         let AskPart { shard, weight, hint, key } = part;
         self.events.push(Event::Part(NewPart { id, key, hint, job, shard, weight }));
-        self.open.insert_part(id, OpenPart::new(query, shard));
+        self.open.insert_part(id, OpenPart::new(query, shard, weight));
         id
     }
 
@@ -195,6 +215,7 @@
         let part = self.open.part(ticket.part);
         let over = outcome == Outcome::Done || part.is_none();
         if let Some(part) = part {
+            part.last_outcome = Some(outcome);
             if outcome.proves_unrun() {
                 part.possible_runs.remove(&ticket.attempt);
             }
--- a/src/routing/core/turn.rs
+++ b/src/routing/core/turn.rs
@@ -5,11 +5,42 @@
 use crate::records::figures;
 use crate::routing::attempt::{Dispatch, End, Ticket};
 use crate::routing::in_flight::SentAttempt;
+use crate::routing::invariants::{Invariant, SendPermit, Sending, check_answer, check_refusal, share_in};
 use crate::routing::open_queries::{OpenPart, OpenQuery};
 use crate::routing::order::Order;
 use crate::routing::query::{Refusal, Verdict};
 use std::time::Duration;
 
+/// An answer may be so much later than the rules' grace: time in which a process may be held up.
+const LATE_SLACK: Duration = Duration::from_millis(200);
+
+/// How a query ends.
+#[derive(Clone, Copy)]
+enum Ending {
+    Answer {
+        whole: bool,
+    },
+    Refuse {
+        pause: Option<Duration>,
+    },
+    Fail,
+    /// The module had not ended it by its client's time.
+    FailOverdue,
+}
+
+impl Ending {
+    fn verdict(self, parts: Vec<OpenPart>) -> Verdict {
+        match self {
+            Ending::Answer { whole } => {
+                let values = parts.into_iter().filter_map(|part| Some((part.shard, part.value?))).collect();
+                Verdict::Answered { whole, values }
+            }
+            Ending::Refuse { pause } => Verdict::Refused { why: Refusal::Declined, pause },
+            Ending::Fail | Ending::FailOverdue => Verdict::Failed,
+        }
+    }
+}
+
 /// The attempts that one turn sends, by worker.
 #[derive(Default)]
 struct Calls(Vec<(LeafId, Vec<Dispatch>)>);
@@ -92,7 +123,7 @@
         for query in self.open.overdue(now, self.overdue_grace()) {
             self.events.push(Event::ClientLeft { id: query });
             self.orders.push(Order::Trace(format!("query {} ran past its time", query.0)));
-            self.settle(now, query, figures::End::FailedOverdue, |_| Verdict::Failed);
+            self.settle(now, query, Ending::FailOverdue);
         }
     }
 
@@ -100,14 +131,9 @@
         match action {
             Action::Send { id, leaf, timeout } => self.send(now, id, leaf, timeout, calls),
             Action::Cancel { id, attempt } => self.cancel(now, Ticket { part: id, attempt }, calls),
-            Action::Answer { id, whole } => self.answer(now, id, whole),
-            Action::Refuse { id, pause } => {
-                let refused = |_| Verdict::Refused { why: Refusal::Declined, pause };
-                self.settle(now, id, figures::End::RefusedDeclined, refused);
-            }
-            Action::Fail { id } => {
-                self.settle(now, id, figures::End::FailedGivenUp, |_| Verdict::Failed);
-            }
+            Action::Answer { id, whole } => self.settle(now, id, Ending::Answer { whole }),
+            Action::Refuse { id, pause } => self.settle(now, id, Ending::Refuse { pause }),
+            Action::Fail { id } => self.settle(now, id, Ending::Fail),
             Action::Wake { after, handle } => {
                 let number = self.number();
                 self.timers.insert((now.after(after), number), handle);
@@ -118,28 +144,76 @@
         }
     }
 
+    /// The one way by which attempts leave. What would break a rule stays here, and ends as never sent.
     fn send(&mut self, now: Time, id: RequestId, worker: LeafId, timeout: Duration, calls: &mut Calls) {
+        let permit = self.permit(now, id, worker, timeout);
         let Some((part, query)) = self.open.part_with_query(id) else { return };
         let ticket = Ticket { part: id, attempt: AttemptNo(part.attempts) };
         part.attempts += 1;
         self.counters.sent += 1;
         self.counters.resent += u64::from(ticket.attempt.0 > 0);
-        let timeout = timeout.min(query.valid_until.since(now));
-        self.in_flight.insert(ticket, SentAttempt { worker, at: now, deadline: now.after(timeout) });
-        let class = self.contracts.settings.classes.get(query.seen.class);
-        let window = class.and_then(|class| window_left(now, class, part));
         part.possible_runs.insert(ticket.attempt, now);
-        let (label, text) = (query.label.clone(), query.text.clone());
-        let dispatch = Dispatch {
-            ticket,
-            label,
-            shard: part.shard,
-            text,
-            timeout,
-            at_most_once: query.at_most_once,
-            window,
+        let (label, shard) = (query.label.clone(), part.shard);
+        let permit = match permit {
+            Ok(permit) => permit,
+            Err(broken) => {
+                return self.withhold(now, ticket, worker, broken, &format!("{label}.{}", shard.0));
+            }
         };
-        calls.add(worker, dispatch);
+        let (text, at_most_once) = (query.text.clone(), query.at_most_once);
+        self.count_repeat(ticket);
+        self.in_flight.insert(ticket, SentAttempt { worker, at: now, deadline: permit.deadline() });
+        calls.add(worker, Dispatch { ticket, label, shard, text, at_most_once, permit });
+    }
+
+    /// The right to send an attempt, or the rule that it would break.
+    fn permit(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        worker: LeafId,
+        timeout: Duration,
+    ) -> Result<SendPermit, Invariant> {
+        let worker_serves = self.workers.serves(worker);
+        let is_out = self.in_flight.of_part(id).next().is_some();
+        let settings = &self.contracts.settings;
+        let (part, query) = self.open.part_with_query(id).ok_or(Invariant::SentInTime)?;
+        let class = settings.classes.get(query.seen.class).ok_or(Invariant::SentInTime)?;
+        let sending = Sending {
+            now,
+            class,
+            valid_until: query.valid_until,
+            worker_serves,
+            attempts: part.attempts,
+            first_possible_run: part.possible_runs.values().min().copied(),
+            is_out,
+            second_copies: settings.second_copies,
+            most_attempts: settings.most_attempts,
+        };
+        sending.permit(timeout)
+    }
+
+    /// Ends an attempt that would break a rule as one that was never sent.
+    fn withhold(&mut self, now: Time, ticket: Ticket, worker: LeafId, broken: Invariant, part: &str) {
+        let name = self.workers.registry.name(worker).unwrap_or("of no name");
+        let concerns = format!("attempt {} of part {part} to worker {name}", ticket.attempt.0);
+        self.violated(broken, &concerns);
+        let sent = SentAttempt { worker, at: now, deadline: now };
+        self.attempt_ended(now, ticket, &sent, End::bare(Outcome::Skipped));
+    }
+
+    /// Counts why an attempt follows another.
+    fn count_repeat(&mut self, ticket: Ticket) {
+        if ticket.attempt.0 == 0 {
+            return;
+        }
+        let is_out = self.in_flight.of_part(ticket.part).next().is_some();
+        let before = self.open.part(ticket.part).and_then(|part| part.last_outcome);
+        *match before {
+            _ if is_out => &mut self.counters.resent_hedged,
+            Some(outcome) if outcome.proves_unrun() => &mut self.counters.resent_unrun,
+            _ => &mut self.counters.resent_failed,
+        } += 1;
     }
 
     fn cancel(&mut self, now: Time, ticket: Ticket, calls: &mut Calls) {
@@ -149,34 +223,54 @@
         self.attempt_ended(now, ticket, &sent, End::bare(Outcome::Cancelled));
     }
 
-    fn answer(&mut self, now: Time, query: RequestId, whole: bool) {
-        let end = if whole { figures::End::WholeInTime } else { figures::End::Partial };
-        self.settle(now, query, end, |parts| {
-            let values = parts.into_iter().filter_map(|part| Some((part.shard, part.value?))).collect();
-            Verdict::Answered { whole, values }
-        });
-    }
-
     /// Gives a query its one final answer; none if it has ended before.
-    fn settle(
-        &mut self,
-        now: Time,
-        query: RequestId,
-        end: figures::End,
-        verdict: impl FnOnce(Vec<OpenPart>) -> Verdict,
-    ) {
+    fn settle(&mut self, now: Time, query: RequestId, ending: Ending) {
         let Some((open, parts)) = self.close(query) else { return };
-        let verdict = verdict(parts);
+        let ending = self.hold_to_rules(now, &open, &parts, ending);
         let took = now.since(open.taken);
-        let late = end == figures::End::WholeInTime && self.is_late(&open, took);
-        self.count_end(open.seen, if late { figures::End::WholeLate } else { end }, took);
-        *match &verdict {
-            Verdict::Answered { whole: true, .. } => &mut self.counters.answered_whole,
-            Verdict::Answered { whole: false, .. } => &mut self.counters.answered_part,
-            Verdict::Refused { .. } => &mut self.counters.refused,
-            Verdict::Failed => &mut self.counters.failed,
+        self.count_end(open.seen, self.end_of(&open, ending, took), took);
+        *match ending {
+            Ending::Answer { whole: true } => &mut self.counters.answered_whole,
+            Ending::Answer { whole: false } => &mut self.counters.answered_part,
+            Ending::Refuse { .. } => &mut self.counters.refused,
+            Ending::Fail | Ending::FailOverdue => &mut self.counters.failed,
         } += 1;
-        self.orders.push(Order::Settle { query, verdict });
+        self.orders.push(Order::Settle { query, verdict: ending.verdict(parts) });
+    }
+
+    /// The one guard on ending a query: what would break a rule ends as the nearest that does not.
+    fn hold_to_rules(&mut self, now: Time, query: &OpenQuery, parts: &[OpenPart], ending: Ending) -> Ending {
+        let latest = query.valid_until.after(self.contracts.settings.answer_grace + LATE_SLACK);
+        if now > latest {
+            let late = now.since(query.valid_until).as_millis();
+            self.violated(Invariant::EndedInTime, &format!("query {} ends {late} ms late", query.label));
+        }
+        let Some(class) = self.contracts.settings.classes.get(query.seen.class) else { return Ending::Fail };
+        let checked = match ending {
+            Ending::Answer { whole } => check_answer(class, share_in(parts), whole),
+            Ending::Refuse { .. } => {
+                check_refusal(class, parts.iter().any(|part| !part.possible_runs.is_empty()))
+            }
+            Ending::Fail | Ending::FailOverdue => Ok(()),
+        };
+        let Err(broken) = checked else { return ending };
+        self.violated(broken, &format!("query {}", query.label));
+        match broken {
+            Invariant::MarkedWholeTruly => Ending::Answer { whole: false },
+            _ => Ending::Fail,
+        }
+    }
+
+    /// How an ending is counted.
+    fn end_of(&self, query: &OpenQuery, ending: Ending, took: Duration) -> figures::End {
+        match ending {
+            Ending::Answer { whole: true } if self.is_late(query, took) => figures::End::WholeLate,
+            Ending::Answer { whole: true } => figures::End::WholeInTime,
+            Ending::Answer { whole: false } => figures::End::Partial,
+            Ending::Refuse { .. } => figures::End::RefusedDeclined,
+            Ending::Fail => figures::End::FailedGivenUp,
+            Ending::FailOverdue => figures::End::FailedOverdue,
+        }
     }
 
     /// Whether an answer after so much time is later than its class wants.
@@ -185,10 +279,3 @@
         class.is_some_and(|class| took > class.aim)
     }
 }
-
-/// For so long a further attempt of this part may still be written, where its class bounds that. Guards against a repeat
-/// that waits for its connection until workers no longer drop it.
-fn window_left(now: Time, class: &Class, part: &OpenPart) -> Option<Duration> {
-    let first = part.possible_runs.values().min().filter(|_| class.effect == Effect::ByKey)?;
-    Some(class.window.saturating_sub(now.since(*first)))
-}
--- a/src/routing/counters.rs
+++ b/src/routing/counters.rs
@@ -45,6 +45,12 @@
     sent,
     /// Attempts beyond a part's first, of these.
     resent,
+    /// Of these, attempts beside one that is out.
+    resent_hedged,
+    /// Attempts after one that never ran: turned away, no connection, never sent.
+    resent_unrun,
+    /// Attempts after one that failed and may have run.
+    resent_failed,
     /// Attempts of which the last byte was written.
     written,
     /// Attempts that ended with a value.
--- a/src/routing/open_queries.rs
+++ b/src/routing/open_queries.rs
@@ -32,18 +32,30 @@
     pub query: RequestId,
     /// The shard that it needs.
     pub shard: ShardId,
+    /// Its share of the whole answer.
+    pub weight: f64,
     /// Attempts so far.
     pub attempts: u32,
     /// When those of its attempts were sent that may have run, or may yet.
     pub possible_runs: BTreeMap<AttemptNo, Time>,
+    /// How the latest attempt that has ended did.
+    pub last_outcome: Option<Outcome>,
     /// The value, once one is in.
     pub value: Option<Bytes>,
 }
 
 impl OpenPart {
     /// A part that was never sent.
-    pub fn new(query: RequestId, shard: ShardId) -> OpenPart {
-        OpenPart { query, shard, attempts: 0, possible_runs: BTreeMap::new(), value: None }
+    pub fn new(query: RequestId, shard: ShardId, weight: f64) -> OpenPart {
+        OpenPart {
+            query,
+            shard,
+            weight,
+            attempts: 0,
+            possible_runs: BTreeMap::new(),
+            last_outcome: None,
+            value: None,
+        }
     }
 }
 
--- a/src/routing/order.rs
+++ b/src/routing/order.rs
@@ -54,4 +54,6 @@
     },
     /// Write a line for the people on call.
     Trace(String),
+    /// A rule is broken: a line of the log that nobody may overlook.
+    Alarm(String),
 }
--- a/src/routing/worker_list.rs
+++ b/src/routing/worker_list.rs
@@ -38,6 +38,12 @@
         self.listed.get(&worker)
     }
 
+    /// Whether new work may go to a worker: it is listed, serves, and is not out by hand.
+    pub fn serves(&self, worker: LeafId) -> bool {
+        let listed = self.listed.get(&worker);
+        listed.is_some_and(|member| self.bans.status(&member.name, member.status) == Status::Active)
+    }
+
     /// Whether a listed worker is out by hand.
     pub fn is_out(&self, worker: LeafId) -> bool {
         self.listed.get(&worker).is_some_and(|member| self.bans.is_out(&member.name))
--- a/src/transport/gate.rs
+++ b/src/transport/gate.rs
@@ -3,7 +3,7 @@
 
 use super::places::{Buffered, Place, Places};
 use crate::limits::crowd::{Record, Source, Why};
-use crate::limits::{Crowd, Denied, Scarcity, Side};
+use crate::limits::{Crowd, Denied, Scarcity, Side, Tally};
 use crate::service::stage::{Call, Refused};
 use crate::service::{Stage, Stages};
 use std::cell::{Cell, RefCell};
@@ -65,7 +65,13 @@
     }
     fn tell_stage(&self) {
         let stage = self.stages.borrow().stage();
-        self.stage.send_if_modified(|told| std::mem::replace(told, stage) != stage);
+        self.stage.send_if_modified(|told| {
+            let before = std::mem::replace(told, stage);
+            if before != stage {
+                log::info!("stage: {before:?} -> {stage:?}, {} connections open", self.open());
+            }
+            before != stage
+        });
     }
     /// Lets time lead from stage to stage, for as long as the process lives.
     pub async fn age(&self) {
@@ -266,6 +272,10 @@
         self.crowd(|crowd| crowd.answered(self.gate.places.now(), self.id, record));
         self.gate.loosened.notify_one();
     }
+    /// Counts something of it.
+    pub fn count(&self, change: impl FnOnce(&mut Tally)) {
+        change(&mut self.gate.places.tally.borrow_mut());
+    }
     /// What it sent was no request.
     pub fn spoke_rubbish(&self) {
         self.crowd(|crowd| crowd.spoke_rubbish(self.gate.places.now(), self.id));
--- a/src/transport/index_servers.rs
+++ b/src/transport/index_servers.rs
@@ -93,7 +93,6 @@
     }
 
     async fn exchange(&self, leaf: LeafId, link: &Rc<Link>, part: &Dispatch) -> End {
-        let since = Instant::now();
         let Ok(_place) = link.places.acquire().await else { return End::bare(Outcome::Skipped) };
         if !link.open.get() {
             return End::bare(Outcome::Skipped);
@@ -102,9 +101,7 @@
             Some(kept) => kept,
             None => {
                 // Nothing has run where there was no place for it.
-                let Ok(opening) =
-                    self.0.places.open(leaf, part.timeout.saturating_sub(since.elapsed())).await
-                else {
+                let Ok(opening) = self.0.places.open(leaf, part.time_left(self.0.broker.now())).await else {
                     return End::bare(Outcome::Skipped);
                 };
                 match dial_within(&*self.0.dial, &link.address, self.0.limits.connect_timeout).await {
@@ -116,7 +113,7 @@
                 }
             }
         };
-        let left = part.timeout.saturating_sub(since.elapsed()).as_millis().max(1);
+        let left = part.time_left(self.0.broker.now()).as_millis().max(1);
         let target = format!("/{}/_search?preference=_shards:{}&timeout={left}ms", part.label, part.shard.0);
         let request = http::request("POST", &target, &link.address, Some(&part.text));
         let mut buffer = BytesMut::new();
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -1,10 +1,12 @@
 //! Clients' connections: accepts them, reads requests, writes each its one response.
 
 use super::gate::{Gate, Pass};
+use super::owed_answer::OwedAnswer;
 use super::stream::Stream;
 use crate::limits::crowd::{Record, Source, Why};
 use crate::limits::{Side, Turnstile};
 use crate::protocol::http::{self, Request, Response};
+use crate::routing::Invariant;
 use crate::service::Stage;
 use bytes::{Bytes, BytesMut};
 use std::future::Future;
@@ -40,6 +42,10 @@
     fn crowded(&self, request: Option<&Request>) -> Response;
     /// Whom a request says it comes from, where the form has a way to say so.
     fn caller<'a>(&self, request: &'a Request) -> Option<&'a str>;
+    /// What a request is called in the log, where the form names it.
+    fn label<'a>(&self, request: &'a Request) -> Option<&'a str>;
+    /// A rule was broken on a connection.
+    fn violated(&self, invariant: Invariant, concerns: &str);
 }
 
 /// A connection that is about to come in.
@@ -166,22 +172,32 @@
     loop {
         let request = match next(&mut read, &mut write, &mut buffer, front, &pass, answers).await {
             Next::Request(request) => request,
-            Next::Last(bytes) => return last(&mut read, &mut write, &bytes, pass.gate()).await,
+            Next::Last(bytes) => {
+                last(&mut read, &mut write, &bytes, pass.gate()).await;
+                return;
+            }
             Next::End => return,
         };
+        let owed = OwedAnswer::new(front, &request);
         if let Some(caller) = front.caller(&request) {
             pass.belongs(source(from, Some(caller)));
         }
         if !pass.opened() {
-            return last(&mut read, &mut write, &front.crowded(Some(&request)).encode(true), pass.gate())
-                .await;
+            let refusal = front.crowded(Some(&request)).encode(true);
+            if last(&mut read, &mut write, &refusal, pass.gate()).await {
+                owed.given();
+            }
+            return;
         }
         let (keep_alive, bodiless, body) = (request.keep_alive, request.method == "HEAD", request.body.len());
         let mut lost = false;
         let response = tokio::select! {
             biased;
             response = front.respond(request) => response,
-            () = gone(&mut read, &mut buffer, &pass, body, &mut lost) => return,
+            () = gone(&mut read, &mut buffer, &pass, body, &mut lost) => {
+                pass.count(|tally| tally.gone_waiting += 1);
+                return owed.client_gone();
+            }
         };
         let close = !keep_alive || lost || pass.gate().stage().parts();
         let mut bytes = response.encode(close);
@@ -189,9 +205,14 @@
             bytes.truncate(bytes.len() - response.body.len());
         }
         pass.bytes.set(buffer.capacity() + bytes.len());
-        let written = tokio::time::timeout(SLOW, write.write_all(&bytes)).await;
-        if !matches!(written, Ok(Ok(()))) {
-            return;
+        match tokio::time::timeout(SLOW, write.write_all(&bytes)).await {
+            Ok(Ok(())) => owed.given(),
+            Ok(Err(error)) => {
+                log::debug!("client at {from}: the answer could not be written: {error}");
+                pass.count(|tally| tally.gone_answered += 1);
+                return owed.client_gone();
+            }
+            Err(_) => return pass.count(|tally| tally.not_taken += 1),
         }
         if close {
             if write.shutdown().await.is_ok() {
@@ -245,7 +266,14 @@
             biased;
             count = read.read_buf(buffer), if more => match count {
                 Ok(count @ 1..) => pass.heard(count),
-                _ => return Next::End,
+                ended => {
+                    if let Err(error) = ended {
+                        log::debug!("client: {error}");
+                    }
+                    let half = !buffer.is_empty();
+                    pass.count(|tally| *if half { &mut tally.gone_half } else { &mut tally.gone_idle } += 1);
+                    return Next::End;
+                }
             },
             () = pass.bytes.room(), if !more => {}
             why = pass.told_to_leave() => {
@@ -314,17 +342,19 @@
     gate.scarcity().limit(LAST, LAST_TIGHT)
 }
 
-/// Says something last; whether the client takes it or not, the connection ends.
+/// Says something last; whether the client takes it or not, the connection ends. True if it was written whole.
 async fn last(
     read: &mut (impl AsyncRead + Unpin),
     write: &mut (impl AsyncWrite + Unpin),
     bytes: &[u8],
     gate: &Gate,
-) {
+) -> bool {
     let end = async { write.write_all(bytes).await.is_ok() && write.shutdown().await.is_ok() };
-    if tokio::time::timeout(last_time(gate), end).await == Ok(true) {
+    let written = tokio::time::timeout(last_time(gate), end).await == Ok(true);
+    if written {
         drain(read, last_time(gate)).await;
     }
+    written
 }
 
 /// Returns when the client has closed its connection. What it sends ahead is kept for later as far as there is room; past
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -6,6 +6,7 @@
 pub mod index_servers;
 pub mod listener;
 pub mod members;
+pub mod owed_answer;
 pub mod places;
 pub mod relay;
 pub mod stream;
--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -106,7 +106,8 @@
             Choice::Open => {
                 let connection = Rc::new(Connection::new(&worker.address));
                 worker.connections.push(connection.clone());
-                let left = parts.iter().map(|part| part.timeout).min().unwrap_or_default();
+                let now = self.0.shared.broker.now();
+                let left = parts.iter().map(|part| part.time_left(now)).min().unwrap_or_default();
                 tokio::task::spawn_local(self.clone().run(id, connection.clone(), left));
                 Some(connection)
             }
@@ -117,6 +118,7 @@
     async fn run(self, id: LeafId, connection: Rc<Connection>, left: Duration) {
         let disconnect = session::run(&self.0.shared, id, &connection, left).await;
         connection.retire();
+        self.count(&disconnect);
         let (why, unwritten, written) = match disconnect {
             Disconnect::Closed(why) => (why, Outcome::Refused, Outcome::Reset),
             Disconnect::Untrusted(why) => (why, Outcome::Refused, Outcome::Error),
@@ -131,6 +133,15 @@
         }
     }
 
+    fn count(&self, disconnect: &Disconnect) {
+        let mut tally = self.0.shared.places.tally.borrow_mut();
+        *match disconnect {
+            Disconnect::Closed(_) => &mut tally.lines_closed,
+            Disconnect::Untrusted(_) => &mut tally.lines_untrusted,
+            Disconnect::Unopened(_) => &mut tally.lines_unopened,
+        } += 1;
+    }
+
     /// Takes a connection that has ended out of the pool, and its worker with it where that is gone.
     fn forget(&self, id: LeafId, connection: &Rc<Connection>, why: &str) {
         let mut workers = self.0.workers.borrow_mut();
@@ -192,7 +203,7 @@
             let tickets = parts.iter().map(|part| part.ticket).collect();
             return self.end_all(tickets, Outcome::Skipped);
         };
-        connection.send(&parts);
+        connection.send(&parts, self.0.shared.broker.now());
         // A connection that carries what runs once takes nothing else, and ends with it.
         if parts.iter().any(|part| part.at_most_once) {
             connection.retire();
--- a/src/transport/workers/connection.rs
+++ b/src/transport/workers/connection.rs
@@ -1,6 +1,7 @@
 //! One connection's calls: the frames that wait to be written, the parts that are out, and what is taken back unsent. It
 //! does no input or output; [`super::session`] carries what stands here.
 
+use crate::api::Time;
 use crate::protocol::frame;
 use crate::routing::{Dispatch, Ticket};
 use crate::transport::places::Place;
@@ -153,10 +154,10 @@
     // ---- What is to be written ----
 
     /// Queues these parts as one frame.
-    pub fn send(&self, parts: &[Dispatch]) {
+    pub fn send(&self, parts: &[Dispatch], now: Time) {
         let mut calls = self.calls.borrow_mut();
         let mut ids = Vec::with_capacity(parts.len());
-        let window = parts.iter().filter_map(|part| part.window).min();
+        let window = parts.iter().filter_map(Dispatch::window).min();
         for part in parts {
             let id = frame::part_id(&part.label, part.shard.0);
             calls.insert(id.clone(), Call { ticket: part.ticket, written: None, withdrawn: false });
@@ -164,7 +165,7 @@
         }
         drop(calls);
         let write_deadline = window.map(|window| Instant::now() + window);
-        let frame = Frame { rest: frame::call(parts), started: false, ids, write_deadline };
+        let frame = Frame { rest: frame::call(parts, now), started: false, ids, write_deadline };
         self.frames.borrow_mut().push_back(frame);
         self.update_place();
         self.wake.notify_one();
--- /dev/null
+++ b/tests/invariants.rs
@@ -0,0 +1,146 @@
+//! Each invariant's own proof that it can fail: what breaks it is seen, counted, and held back where it can be.
+
+mod common;
+
+use clayshore::api::*;
+use clayshore::limits::{Plan, Side};
+use clayshore::protocol::http::{Malformed, Request, Response};
+use clayshore::routing::invariants::{INVARIANTS, Sending, check_answer, check_refusal};
+use clayshore::routing::{Invariant, Violations};
+use clayshore::transport::gate::Gate;
+use clayshore::transport::listener::{Front, serve};
+use clayshore::transport::places::Places;
+use common::{class, ms};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+
+const NOW: Time = Time(1 << 40);
+
+/// An attempt that breaks nothing.
+fn sound(class: &Class) -> Sending<'_> {
+    Sending {
+        now: NOW,
+        class,
+        valid_until: NOW.after(ms(500)),
+        worker_serves: true,
+        attempts: 0,
+        first_possible_run: None,
+        is_out: false,
+        second_copies: true,
+        most_attempts: Some(3),
+    }
+}
+
+#[test]
+fn each_rule_of_sending_holds_back_what_breaks_it() {
+    let (search, seal, stamp) = (class(Effect::Repeatable), class(Effect::Once), class(Effect::ByKey));
+    let after = |span| Some(Time(NOW.0 - ms(span).as_nanos() as u64));
+    let permit = sound(&search).permit(ms(900)).expect("sound");
+    assert_eq!(permit.deadline(), NOW.after(ms(500)), "never longer than the client waits");
+    let broken = |sending: Sending<'_>| sending.permit(ms(100)).expect_err("it breaks a rule");
+    let serves = Sending { worker_serves: false, ..sound(&search) };
+    assert_eq!(broken(serves), Invariant::SentToServing);
+    let over = Sending { valid_until: NOW, ..sound(&search) };
+    assert_eq!(broken(over), Invariant::SentInTime);
+    let hedged = Sending { is_out: true, second_copies: false, ..sound(&search) };
+    assert_eq!(broken(hedged), Invariant::HedgedWhereAllowed);
+    let many = Sending { attempts: 3, ..sound(&search) };
+    assert_eq!(broken(many), Invariant::AttemptsBounded);
+    let twice = Sending { attempts: 1, first_possible_run: after(10), ..sound(&seal) };
+    assert_eq!(broken(twice), Invariant::RepeatedSafely);
+    let late = Sending { attempts: 1, first_possible_run: after(1000), ..sound(&stamp) };
+    assert_eq!(broken(late), Invariant::RepeatedInWindow);
+    let inside = Sending { attempts: 1, first_possible_run: after(400), ..sound(&stamp) };
+    assert_eq!(inside.permit(ms(100)).map(|permit| permit.window()), Ok(Some(ms(600))));
+    let unrun = Sending { attempts: 1, ..sound(&seal) };
+    assert!(unrun.permit(ms(100)).is_ok(), "no attempt before can have run");
+}
+
+#[test]
+fn each_rule_of_ending_holds_back_what_breaks_it() {
+    let half = Class { min_share: 0.5, ..class(Effect::Repeatable) };
+    assert_eq!(check_answer(&half, 0.49, false), Err(Invariant::AnsweredAboveFloor));
+    assert_eq!(check_answer(&half, 0.9, true), Err(Invariant::MarkedWholeTruly));
+    assert_eq!((check_answer(&half, 0.5, false), check_answer(&half, 0.99995, true)), (Ok(()), Ok(())));
+    let seal = class(Effect::Once);
+    assert_eq!(check_refusal(&seal, true), Err(Invariant::RefusedUnrun));
+    assert_eq!((check_refusal(&seal, false), check_refusal(&half, true)), (Ok(()), Ok(())));
+}
+
+#[test]
+fn every_invariant_is_counted_under_a_name_of_its_own() {
+    let mut violations = Violations::default();
+    for invariant in INVARIANTS {
+        violations.count(invariant);
+        assert_eq!(violations.of(invariant), 1);
+    }
+    let text = violations.to_string();
+    assert_eq!(
+        text.split(' ').collect::<std::collections::BTreeSet<_>>().len(),
+        INVARIANTS.len() + 1,
+        "{text}"
+    );
+    assert!(text.starts_with(&format!("total={} ", INVARIANTS.len())));
+}
+
+/// Never answers, and keeps what is told of broken rules.
+#[derive(Default)]
+struct Mute(RefCell<Vec<Invariant>>);
+
+impl Front for Mute {
+    async fn respond(&self, _: Request) -> Response {
+        std::future::pending().await
+    }
+    fn malformed(&self, error: Malformed) -> Response {
+        Response::text(error.status(), error.to_string())
+    }
+    fn crowded(&self, _: Option<&Request>) -> Response {
+        Response::text(503, "crowded")
+    }
+    fn caller<'a>(&self, _: &'a Request) -> Option<&'a str> {
+        None
+    }
+    fn label<'a>(&self, _: &'a Request) -> Option<&'a str> {
+        None
+    }
+    fn violated(&self, invariant: Invariant, _: &str) {
+        self.0.borrow_mut().push(invariant);
+    }
+}
+
+/// Serves one connection on which a request comes, until `leaves`: by the client, or by this side.
+async fn left(leaves: bool) -> Vec<Invariant> {
+    let places = Places::new(Plan::new(64, 16, 0).expect("enough"), 1 << 20);
+    let gate = Gate::new(places.clone());
+    let source = clayshore::limits::crowd::Source(1);
+    let pass = gate.admit(source, Duration::ZERO).await.expect("room");
+    let (near, mut far) = tokio::io::duplex(1 << 12);
+    let front = Rc::new(Mute::default());
+    far.write_all(b"GET / HTTP/1.1\r\n\r\n").await.expect("written");
+    let from = "127.0.0.1:1".parse().expect("an address");
+    let serving = serve(near, from, &*front, pass);
+    let closing = async move {
+        tokio::time::sleep(ms(10)).await;
+        if leaves {
+            drop(far);
+            std::future::pending::<()>().await;
+        }
+    };
+    tokio::select! {
+        () = serving => {}
+        () = closing => {}
+    }
+    assert_eq!(places.descriptors(|all| all.held(Side::Clients)), 0);
+    front.0.borrow().clone()
+}
+
+#[test]
+fn a_connection_closed_over_a_request_that_was_read_is_counted() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    runtime.expect("a runtime").block_on(async {
+        assert_eq!(left(false).await, [Invariant::ClosedAnswered]);
+        assert_eq!(left(true).await, [], "its client has gone");
+    });
+}
--- a/tests/listener.rs
+++ b/tests/listener.rs
@@ -2,6 +2,7 @@
 
 use clayshore::limits::{Plan, Side};
 use clayshore::protocol::http::{Malformed, Request, Response};
+use clayshore::routing::Invariant;
 use clayshore::service::stage::Call;
 use clayshore::transport::gate::Gate;
 use clayshore::transport::listener::{Accept, Accepting, Front, accept};
@@ -37,6 +38,12 @@
     fn caller<'a>(&self, request: &'a Request) -> Option<&'a str> {
         request.headers.get("X-Caller")
     }
+    fn label<'a>(&self, _: &'a Request) -> Option<&'a str> {
+        None
+    }
+    fn violated(&self, invariant: Invariant, concerns: &str) {
+        eprintln!("{}: {concerns}", invariant.name());
+    }
 }
 
 /// A gate with a listener in front of it.
