--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,6 +79,7 @@
 pub mod routing;
 pub mod rules;
 pub mod service;
+pub mod soak;
 mod state;
 mod tenant_shares;
 pub mod transport;
