Sockets that bear short and interrupted calls, behind one type for all peers

Cause: the runtime's PollEvented clears readiness after a read or write that is shorter than its buffer and waits for the next edge, which does not come where the kernel had more bytes or room; and it hands EINTR on, which listener.rs (next, serve, gone, last), workers/session.rs (take), client.rs, desk.rs, relay.rs and members.rs all take for the end of a connection. Ruled out: waits (an interrupted epoll_wait is made again by the runtime), accept (it clears readiness on EWOULDBLOCK alone). Change: transport/socket.rs, Socket<S>, goes by readiness alone and makes interrupted calls again; TCP to clients, workers, discovery, operators and members and the Unix socket of an upgrade all go through it; sendmsg and recvmsg of the hand-over are made again.

--- a/src/transport/desk.rs
+++ b/src/transport/desk.rs
@@ -2,6 +2,7 @@
 
 use super::listener::drain;
 use super::places::{Place, Places};
+use super::socket::Socket;
 use crate::limits::Side;
 use crate::limits::descriptors::OPERATORS;
 use crate::protocol::http::{self, Request, Response};
@@ -37,7 +38,7 @@
     let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+            Ok((stream, _)) => Socket::new(stream),
             Err(error) => {
                 log::warn!("operators: accept: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -57,7 +58,7 @@
 }
 
 /// The life of one call.
-async fn call(mut stream: TcpStream, desk: &impl Desk, _place: Place) {
+async fn call(mut stream: Socket<TcpStream>, desk: &impl Desk, _place: Place) {
     let mut buffer = BytesMut::new();
     let arriving = async {
         loop {
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -2,6 +2,7 @@
 
 use super::gate::{Gate, Pass};
 use super::owed_answer::OwedAnswer;
+use super::socket::Socket;
 use super::stream::Stream;
 use crate::limits::crowd::{Record, Source, Why};
 use crate::limits::{Side, Turnstile};
@@ -70,7 +71,7 @@
             if let Err(error) = stream.set_nodelay(true) {
                 log::debug!("client: {error}");
             }
-            Ok((Box::new(stream) as Box<dyn Stream>, from))
+            Ok((Box::new(Socket::new(stream)) as Box<dyn Stream>, from))
         })
     }
 }
--- a/src/transport/members.rs
+++ b/src/transport/members.rs
@@ -1,6 +1,7 @@
 //! The sockets of membership: datagrams, connections that prove whether a process is there, exchanges of whole tables.
 //! What is asked and concluded is decided in [`crate::membership`].
 
+use super::socket::Socket;
 use crate::membership::{Change, Knock, Message, Node, Order, Seen, State};
 use crate::protocol::gossip::{self, DATAGRAM, Seal, Unusable};
 use crate::routing::Clock;
@@ -259,7 +260,7 @@
     async fn exchange(self: Rc<Members>, with: SocketAddr) {
         let Ok(_place) = self.own.try_acquire() else { return };
         let both = async {
-            let mut stream = TcpStream::connect(with).await.ok()?;
+            let mut stream = Socket::new(TcpStream::connect(with).await.ok()?);
             self.tell(&mut stream).await?;
             self.read(&mut stream).await
         };
@@ -272,13 +273,14 @@
     async fn accept(self: Rc<Members>, listener: TcpListener) {
         loop {
             let Ok(place) = self.callers.acquire().await else { return };
-            let Ok((mut stream, _)) = listener.accept().await else {
+            let Ok((stream, _)) = listener.accept().await else {
                 tokio::time::sleep(PAUSE).await;
                 continue;
             };
             place.forget();
             let members = self.clone();
             spawn_local(async move {
+                let mut stream = Socket::new(stream);
                 let both = async {
                     let message = members.read(&mut stream).await?;
                     members.tell(&mut stream).await?;
@@ -293,13 +295,13 @@
         }
     }
 
-    async fn tell(&self, stream: &mut TcpStream) -> Option<()> {
+    async fn tell(&self, stream: &mut Socket<TcpStream>) -> Option<()> {
         let bytes = self.seal.close(&self.node.borrow().table_message()).ok()?;
         let length = u32::try_from(bytes.len()).ok()?;
         stream.write_all(&[&length.to_le_bytes()[..], &bytes].concat()).await.ok()
     }
 
-    async fn read(&self, stream: &mut TcpStream) -> Option<Message> {
+    async fn read(&self, stream: &mut Socket<TcpStream>) -> Option<Message> {
         // Who only knocks ends it here.
         let length = stream.read_u32_le().await.ok()? as usize;
         if length > self.most {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -9,6 +9,7 @@
 pub mod owed_answer;
 pub mod places;
 pub mod relay;
+pub mod socket;
 pub mod stream;
 pub mod watch;
 pub mod workers;
--- a/src/transport/relay.rs
+++ b/src/transport/relay.rs
@@ -1,7 +1,9 @@
 //! Between the two processes of an upgrade: a Unix socket, messages, and the listening socket beside one of them.
 
+use super::socket::Socket;
 use crate::protocol::handover::{self, Message, Unusable};
 use bytes::BytesMut;
+use rustix::io::retry_on_intr;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags,
@@ -104,7 +106,7 @@
 /// A connection to the other process.
 #[derive(Debug)]
 pub struct Relay {
-    stream: UnixStream,
+    stream: Socket<UnixStream>,
     buffer: BytesMut,
 }
 
@@ -114,7 +116,7 @@
         let same = |user: u32| user == rustix::process::geteuid().as_raw();
         let peer = stream.peer_cred().ok().filter(|peer| same(peer.uid()));
         // Guards against any other user's process that takes the name: it is given nothing and believed nothing.
-        peer.is_some().then(|| Relay { stream, buffer: BytesMut::new() })
+        peer.is_some().then(|| Relay { stream: Socket::new(stream), buffer: BytesMut::new() })
     }
 
     /// Sends a message.
@@ -126,8 +128,8 @@
     /// Sends a message with a socket beside it.
     pub async fn send_with(&mut self, message: &Message, socket: BorrowedFd<'_>) -> Result<(), Lost> {
         let bytes = handover::encode(message)?;
-        let sent = self
-            .stream
+        let raw = self.stream.raw();
+        let sent = raw
             .async_io(Interest::WRITABLE, || {
                 let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
                 let mut beside = SendAncillaryBuffer::new(&mut space);
@@ -135,13 +137,9 @@
                 if !beside.push(SendAncillaryMessage::ScmRights(&sockets)) {
                     return Err(io::ErrorKind::OutOfMemory.into());
                 }
-                let sent = rustix::net::sendmsg(
-                    &self.stream,
-                    &[IoSlice::new(&bytes)],
-                    &mut beside,
-                    SendFlags::NOSIGNAL,
-                );
-                sent.map_err(io::Error::from)
+                let pieces = [IoSlice::new(&bytes)];
+                let send = || rustix::net::sendmsg(raw, &pieces, &mut beside, SendFlags::NOSIGNAL);
+                retry_on_intr(send).map_err(io::Error::from)
             })
             .await?;
         Ok(self.stream.write_all(&bytes[sent..]).await?)
@@ -179,14 +177,14 @@
 
     async fn read_with(&mut self, socket: &mut Option<OwnedFd>) -> io::Result<usize> {
         let mut bytes = vec![0; READ];
-        let (count, came) = self
-            .stream
+        let raw = self.stream.raw();
+        let (count, came) = raw
             .async_io(Interest::READABLE, || {
                 let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
                 let mut beside = RecvAncillaryBuffer::new(&mut space);
                 let mut parts = [IoSliceMut::new(&mut bytes)];
-                let read =
-                    rustix::net::recvmsg(&self.stream, &mut parts, &mut beside, RecvFlags::CMSG_CLOEXEC)?;
+                let receive = || rustix::net::recvmsg(raw, &mut parts, &mut beside, RecvFlags::CMSG_CLOEXEC);
+                let read = retry_on_intr(receive)?;
                 let sockets = beside.drain().filter_map(|message| match message {
                     RecvAncillaryMessage::ScmRights(sockets) => Some(sockets),
                     _ => None,
--- a/src/transport/stream.rs
+++ b/src/transport/stream.rs
@@ -1,5 +1,6 @@
 //! Connections out, by TCP or by whatever stands in for it.
 
+use super::socket::Socket;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -29,7 +30,7 @@
         Box::pin(async move {
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
-            Ok(Box::new(stream) as Box<dyn Stream>)
+            Ok(Box::new(Socket::new(stream)) as Box<dyn Stream>)
         })
     }
 }
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -358,7 +358,12 @@
 
     /// Waits for its end; whether that was a good one.
     pub fn ended(&mut self) -> bool {
-        self.child.wait().expect("it ends").success()
+        let mut status = None;
+        until("it ends", || {
+            status = self.child.try_wait().expect("its status");
+            status.is_some()
+        });
+        status.is_some_and(|status| status.success())
     }
 
     pub fn connect(&self) -> TcpStream {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -25,6 +25,8 @@
     }
     assert_eq!((worker.parts(), worker.most()), (QUERIES, 1));
     std::fs::remove_file(&switch).expect("removed");
+    // The library looks at its switch every 2 ms; a signal that comes before has a test of its own.
+    std::thread::sleep(std::time::Duration::from_millis(20));
     gatherer.signal("-TERM");
     assert!(gatherer.ended());
 }
