Tell a worker the time that is left as its frame is written, not as it is queued

Cause: Connection::send encoded the frame as it was queued (workers/connection.rs, frame.rs call). Ruled out: the module's time-out (Core::send cuts it to the client's time) and the OpenSearch-style carrier, which reckons as it writes. Change: a frame that waits holds its parts, and is made at each try to write it until a byte is taken; from the first byte it has 0.1 s, then its connection ends unwritten, which proves that it never ran. The fixed limit for frames that nobody waits for goes with it. After: the test passes; workers, connections, scenarios pass.

--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -203,9 +203,10 @@
             let tickets = parts.iter().map(|part| part.ticket).collect();
             return self.end_all(tickets, Outcome::Skipped);
         };
-        connection.send(&parts, self.0.shared.broker.now());
+        let at_most_once = parts.iter().any(|part| part.at_most_once);
+        connection.send(parts);
         // A connection that carries what runs once takes nothing else, and ends with it.
-        if parts.iter().any(|part| part.at_most_once) {
+        if at_most_once {
             connection.retire();
         }
     }
--- a/src/transport/workers/connection.rs
+++ b/src/transport/workers/connection.rs
@@ -5,14 +5,15 @@
 use crate::protocol::frame;
 use crate::routing::{Dispatch, Ticket};
 use crate::transport::places::Place;
-use bytes::{Buf, Bytes};
+use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// For so long a frame of which a part is written may stick where nobody waits for any of its parts.
+/// For so long a frame of which a part is written may stick. It tells of the time that was left as its first byte was
+/// written, and 0.15 s more than is left may be told; and nobody may wait for any of its parts by then.
 const HALF_WRITTEN_LIMIT: Duration = Duration::from_millis(100);
 /// Ids answered or given up that a connection remembers: what is heard of them again harms nothing.
 const MAX_FINISHED_IDS: usize = 256;
@@ -39,19 +40,49 @@
 
 /// A frame that is to be written.
 struct Frame {
-    /// What is not written yet.
-    rest: Bytes,
-    /// A part of it is written.
-    started: bool,
+    content: Content,
     /// The parts that it carries; none for giving one up.
     ids: Vec<String>,
-    /// When it is no longer to be written: a window has ended, or nobody waits for what is half written.
+    /// When it is no longer to be written: a window has ended, or it has stuck half written.
     write_deadline: Option<Instant>,
 }
 
+/// What a frame says.
+enum Content {
+    /// A call of which no byte is written: it is made as it is written, since it tells how much time is left.
+    Call(Vec<Dispatch>),
+    /// Gives this part up.
+    GiveUp(String),
+    /// What is not written yet of a frame of which a part is.
+    Rest(Bytes),
+}
+
 impl Frame {
     fn give_up(id: &str) -> Frame {
-        Frame { rest: frame::give_up(id), started: false, ids: Vec::new(), write_deadline: None }
+        Frame { content: Content::GiveUp(id.to_owned()), ids: Vec::new(), write_deadline: None }
+    }
+
+    /// What is to be written of it at this time.
+    fn bytes(&self, now: Time) -> Bytes {
+        match &self.content {
+            Content::Call(parts) => frame::call(parts, now),
+            Content::GiveUp(id) => frame::give_up(id),
+            Content::Rest(rest) => rest.clone(),
+        }
+    }
+
+    /// A part of it is written.
+    fn is_started(&self) -> bool {
+        matches!(self.content, Content::Rest(_))
+    }
+
+    /// Books that this is left of it.
+    fn leave(&mut self, rest: Bytes) {
+        if !self.is_started() {
+            let limit = Instant::now() + HALF_WRITTEN_LIMIT;
+            self.write_deadline = Some(self.write_deadline.map_or(limit, |deadline| deadline.min(limit)));
+        }
+        self.content = Content::Rest(rest);
     }
 
     fn carries(&self, id: &str) -> bool {
@@ -154,26 +185,31 @@
     // ---- What is to be written ----
 
     /// Queues these parts as one frame.
-    pub fn send(&self, parts: &[Dispatch], now: Time) {
+    pub fn send(&self, parts: Vec<Dispatch>) {
         let mut calls = self.calls.borrow_mut();
         let mut ids = Vec::with_capacity(parts.len());
         let window = parts.iter().filter_map(Dispatch::window).min();
-        for part in parts {
+        for part in &parts {
             let id = frame::part_id(&part.label, part.shard.0);
             calls.insert(id.clone(), Call { ticket: part.ticket, written: None, withdrawn: false });
             ids.push(id);
         }
         drop(calls);
         let write_deadline = window.map(|window| Instant::now() + window);
-        let frame = Frame { rest: frame::call(parts, now), started: false, ids, write_deadline };
-        self.frames.borrow_mut().push_back(frame);
+        let content = Content::Call(parts);
+        self.frames.borrow_mut().push_back(Frame { content, ids, write_deadline });
         self.update_place();
         self.wake.notify_one();
     }
 
-    /// What is to be written next.
-    pub fn next_frame(&self) -> Option<Bytes> {
-        self.frames.borrow().front().map(|frame| frame.rest.clone())
+    /// Whether anything is to be written.
+    pub fn has_frame(&self) -> bool {
+        !self.frames.borrow().is_empty()
+    }
+
+    /// What is to be written next, as it has to be at this time.
+    pub fn next_frame(&self, now: Time) -> Bytes {
+        self.frames.borrow().front().map(|frame| frame.bytes(now)).unwrap_or_default()
     }
 
     /// When what is to be written next no longer is.
@@ -181,13 +217,12 @@
         self.frames.borrow().front().and_then(|frame| frame.write_deadline)
     }
 
-    /// Books that so many bytes of the front frame are written; how many parts have been written whole by that.
-    pub fn mark_written(&self, count: usize) -> usize {
+    /// Books that all but this of the front frame is written; how many parts have been written whole by that.
+    pub fn mark_written(&self, rest: Bytes) -> usize {
         let mut frames = self.frames.borrow_mut();
         let Some(frame) = frames.front_mut() else { return 0 };
-        frame.rest.advance(count);
-        frame.started |= count > 0;
-        if !frame.rest.is_empty() {
+        if !rest.is_empty() {
+            frame.leave(rest);
             return 0;
         }
         let Some(frame) = frames.pop_front() else { return 0 };
@@ -232,7 +267,6 @@
     pub fn abandon(&self, ticket: Ticket, silence: Duration, tell: bool) -> bool {
         let Some((id, call)) = self.remove(ticket) else { return false };
         if !self.drop_unsent(&id) {
-            self.bound_half_written(&id);
             self.remember(id.clone());
             if tell {
                 self.frames.borrow_mut().push_back(Frame::give_up(&id));
@@ -256,21 +290,10 @@
     fn drop_unsent(&self, id: &str) -> bool {
         let (calls, mut frames) = (self.calls.borrow(), self.frames.borrow_mut());
         let before = frames.len();
-        frames.retain(|frame| frame.started || !frame.carries(id) || frame.wanted(&calls));
+        frames.retain(|frame| frame.is_started() || !frame.carries(id) || frame.wanted(&calls));
         frames.len() < before
     }
 
-    /// Guards against a part that runs long after its client has left: what is written of its frame sticks in a full
-    /// connection, and the rest would follow whenever the worker reads on.
-    fn bound_half_written(&self, id: &str) {
-        let (calls, mut frames) = (self.calls.borrow(), self.frames.borrow_mut());
-        let Some(frame) = frames.front_mut() else { return };
-        if frame.started && frame.carries(id) && !frame.wanted(&calls) {
-            let limit = Instant::now() + HALF_WRITTEN_LIMIT;
-            frame.write_deadline = Some(frame.write_deadline.map_or(limit, |deadline| deadline.min(limit)));
-        }
-    }
-
     /// Takes back the calls of which no byte has been written.
     pub fn take_unsent(&self) -> Vec<Ticket> {
         self.take_back(|_| true)
@@ -290,7 +313,7 @@
         let mut tickets = Vec::new();
         self.frames.borrow_mut().retain(|frame| {
             let stays = |id: &String| calls.get(id).is_some_and(|call| !may(call));
-            if frame.started || frame.ids.is_empty() || frame.ids.iter().any(stays) {
+            if frame.is_started() || frame.ids.is_empty() || frame.ids.iter().any(stays) {
                 return true;
             }
             tickets.extend(frame.ids.iter().filter_map(|id| calls.remove(id)).map(|call| call.ticket));
--- a/src/transport/workers/session.rs
+++ b/src/transport/workers/session.rs
@@ -7,11 +7,13 @@
 use crate::routing::{Broker, End, Limits};
 use crate::transport::places::{Buffered, Places};
 use crate::transport::stream::{Dial, Stream, dial_within};
-use bytes::BytesMut;
+use bytes::{Buf, Bytes, BytesMut};
 use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
+use tokio::io::{AsyncReadExt, AsyncWrite, ReadHalf, WriteHalf};
 use tokio::time::Instant;
 
 /// Share of the worker's idle time after which a connection is closed from this side.
@@ -94,10 +96,30 @@
     Ok(Some(stream))
 }
 
+/// Writes of the next frame what the connection takes; what is left of it. Guards against telling a worker of time that
+/// has passed while the connection was full: until a byte is taken, the frame is made anew at each try.
+async fn write_next(
+    write: &mut WriteHalf<Box<dyn Stream>>,
+    connection: &Connection,
+    broker: &Broker,
+) -> io::Result<Bytes> {
+    std::future::poll_fn(|cx| {
+        let mut frame = connection.next_frame(broker.now());
+        let count = ready!(Pin::new(&mut *write).poll_write(cx, &frame))?;
+        if count == 0 {
+            return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
+        }
+        frame.advance(count);
+        Poll::Ready(Ok(frame))
+    })
+    .await
+}
+
 /// What a session waits for.
 enum Event {
     Read(io::Result<usize>),
-    Written(io::Result<usize>),
+    /// What is left of the frame.
+    Written(io::Result<Bytes>),
     Wake,
     FrameOverdue,
     AnswerOverdue,
@@ -169,7 +191,7 @@
         read: &mut ReadHalf<Box<dyn Stream>>,
         write: &mut WriteHalf<Box<dyn Stream>>,
     ) -> Event {
-        let (frame, deadline) = (self.connection.next_frame(), self.connection.write_deadline());
+        let (has_frame, deadline) = (self.connection.has_frame(), self.connection.write_deadline());
         let limits = &self.shared.limits;
         let idle = self.last_used + limits.conn_idle.mul_f64(IDLE_SHARE);
         // Guards against answers that never end: the rest of a frame may take as long as a connection may.
@@ -177,7 +199,7 @@
         tokio::select! {
             biased;
             count = read.read_buf(&mut self.buffer) => Event::Read(count),
-            count = write.write(frame.as_deref().unwrap_or_default()), if frame.is_some() => Event::Written(count),
+            rest = write_next(write, self.connection, &self.shared.broker), if has_frame => Event::Written(rest),
             () = self.connection.wake.notified() => Event::Wake,
             () = tokio::time::sleep_until(deadline.unwrap_or(self.last_used)), if deadline.is_some() => Event::FrameOverdue,
             () = tokio::time::sleep_until(answer_deadline), if self.answer_started.is_some() => Event::AnswerOverdue,
@@ -187,10 +209,10 @@
 
     fn take(&mut self, event: Event) -> Result<(), Disconnect> {
         match event {
-            Event::Read(Ok(0)) | Event::Written(Ok(0)) => Err(Disconnect::closed("closed by the worker")),
+            Event::Read(Ok(0)) => Err(Disconnect::closed("closed by the worker")),
             Event::Read(Ok(_)) => self.read(),
-            Event::Written(Ok(count)) => {
-                let parts = self.connection.mark_written(count);
+            Event::Written(Ok(rest)) => {
+                let parts = self.connection.mark_written(rest);
                 self.shared.broker.core(|core| core.written(parts));
                 Ok(())
             }
