--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -3,7 +3,9 @@
 
 mod common;
 
-use common::process::{Discovery, Folder, Gatherer, Worker, config, member, query, response};
+use common::process::*;
+use std::thread;
+use std::time::Duration;
 
 /// Queries that a test asks, one after the other, on one connection.
 const QUERIES: usize = 20;
@@ -26,7 +28,7 @@
     assert_eq!((worker.parts(), worker.most()), (QUERIES, 1));
     std::fs::remove_file(&switch).expect("removed");
     // The library looks at its switch every 2 ms; a signal that comes before has a test of its own.
-    std::thread::sleep(std::time::Duration::from_millis(20));
+    thread::sleep(Duration::from_millis(20));
     gatherer.signal("-TERM");
     assert!(gatherer.ended());
 }
@@ -40,3 +42,54 @@
 fn an_interrupted_read_or_write_costs_no_request() {
     serves_all("interrupted", "seed=2,interrupt=0.3");
 }
+
+#[test]
+fn a_signal_is_heard_though_the_call_that_tells_of_it_is_interrupted() {
+    let (folder, worker) = (Folder::new("signals"), Worker::start());
+    let discovery = Discovery::start(&member("w1", &worker.address));
+    let switch = folder.0.join("faults");
+    let faults = "seed=3,interrupt=1";
+    let mut gatherer = Gatherer::begin_with_faults(&folder, &config(&discovery), faults, Some(&switch));
+    gatherer.logged(" serving on ");
+    gatherer.logged("discovery at");
+    std::fs::write(&switch, "").expect("written");
+    thread::sleep(Duration::from_millis(20));
+    gatherer.signal("-TERM");
+    thread::sleep(Duration::from_millis(20));
+    std::fs::remove_file(&switch).expect("removed");
+    gatherer.logged("stopping: ");
+    assert!(gatherer.ended());
+}
+
+#[test]
+fn a_start_bears_calls_that_fail_for_a_moment() {
+    let (folder, worker) = (Folder::new("start"), Worker::start());
+    let discovery = Discovery::start(&member("w1", &worker.address));
+    for seed in 1..=6 {
+        let faults =
+            format!("seed={seed},socket=0.5,bind=0.5,open=0.5,connect=0.5,on_ms=300,period_ms=60000");
+        let gatherer = Gatherer::begin_with_faults(&folder, &config(&discovery), &faults, None);
+        gatherer.logged(" serving on ");
+        let mut client = gatherer.connect();
+        query(&mut client, &format!("s{seed}"), "search").expect("written");
+        assert_eq!(response(&mut client).expect("an answer").status, 200, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_successor_finds_a_predecessor_that_is_out_of_descriptors_for_a_while() {
+    let (folder, worker) = (Folder::new("starved"), Worker::start());
+    let discovery = Discovery::start(&member("w1", &worker.address));
+    let (switch, first) = (folder.0.join("faults"), config(&discovery));
+    let mut second = first.clone();
+    second["operator"] = free().into();
+    let first = Gatherer::begin_with_faults(&folder, &first, "seed=4,accept=1", Some(&switch));
+    first.logged(" serving on ");
+    std::fs::write(&switch, "").expect("written");
+    let second = Gatherer::begin(&folder, &second);
+    // Longer than one answer may take.
+    thread::sleep(Duration::from_millis(2500));
+    std::fs::remove_file(&switch).expect("removed");
+    second.logged(" serving on ");
+    first.logged("upgrade: the successor serves");
+}
