Hear every signal, bear calls that fail at a start, wait for a predecessor that starves

Ruled out: the pair's own succession rules (its model test holds). Changes: program/signals.rs, where a flag decides and a byte only wakes, looked at each 0.1 s beside (signal-hook in place of the runtime's signals); transport/failure.rs, which failures pass and how calls are made again; starts retry those for 8 s; a predecessor that cannot be heard, or whose socket does not come, is asked again for 3 s, and listening beside it counts as violations.started_alone; its accept frees a descriptor where there is none. A state without its socket is no hand-over any more: the queue of the first belonged to nobody.

--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -4,6 +4,7 @@
 use crate::limits::descriptors;
 use crate::protocol::discovery;
 use crate::routing::{Contracts, Listing};
+use crate::transport::failure::may_pass;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -41,6 +42,13 @@
     Key(#[from] Faulty),
 }
 
+impl Error {
+    /// Whether reading again in a moment may do better.
+    pub fn may_pass(&self) -> bool {
+        matches!(self, Error::File { error, .. } if may_pass(error))
+    }
+}
+
 /// What a gatherer is told at its start.
 #[derive(Debug)]
 pub struct Config {
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -11,4 +11,5 @@
 mod recording;
 pub mod run;
 pub mod settings;
+mod signals;
 mod upgrade;
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -7,6 +7,7 @@
 use super::operator::Operator;
 use super::process::Allowed;
 use super::recording::Recording;
+use super::signals::{self, Hangup, Stop};
 use super::upgrade::Upgrade;
 use crate::api::Settings;
 use crate::fronts::counts;
@@ -18,6 +19,7 @@
 use crate::routing::{Broker, Carrier, Clock, Contracts, Core, Invariant};
 use crate::service::stage::Call;
 use crate::transport::desk;
+use crate::transport::failure::{self, Pauses};
 use crate::transport::gate::Gate;
 use crate::transport::index_servers::IndexServers;
 use crate::transport::listener::{self, Front};
@@ -30,9 +32,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::runtime::Runtime;
 use tokio::sync::watch::Sender;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::Instant;
 
 /// Descriptors that an operated process opens later than it reads its limits: the clients' listener, the place where a
 /// successor finds it, and the connection to it.
@@ -44,25 +47,23 @@
 /// Time past the longest deadline after which the end no longer waits for a client to read its answer.
 const SLACK: Duration = Duration::from_millis(300);
 
-/// The signals that a front obeys, from before it reads its configuration. Guards a process that has just started: until
-/// they are heard, SIGHUP ends it like a crash, and SIGTERM leaves those who connected by then without an answer.
-fn signals() -> io::Result<(Signal, Stop)> {
-    let (terminate, interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    Ok((signal(SignalKind::hangup())?, Stop { terminate, interrupt }))
-}
+/// How long a call that a start needs may fail, in a way that may pass, before the start does.
+const START: Duration = Duration::from_secs(8);
 
-/// SIGTERM and SIGINT.
-struct Stop {
-    terminate: Signal,
-    interrupt: Signal,
+/// Makes a call that a start needs, again for a while where it fails in a way that may pass.
+async fn needed<T>(call: impl AsyncFnMut() -> io::Result<T>) -> io::Result<T> {
+    failure::retry(START, failure::may_pass, call).await
 }
 
-impl Stop {
-    /// Returns once either has come.
-    async fn told(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+/// Reads the configuration, again for a while where it cannot be read now.
+async fn configured<T>(read: &impl Fn() -> Result<T, Error>) -> Result<T, Error> {
+    let (since, mut pauses) = (Instant::now(), Pauses::default());
+    loop {
+        match read() {
+            Err(error) if error.may_pass() && since.elapsed() < START => {
+                tokio::time::sleep(pauses.next()).await;
+            }
+            done => return done,
         }
     }
 }
@@ -73,15 +74,15 @@
     read: impl Fn() -> Result<Config, Error> + 'static,
 ) -> Result<(), Failure> {
     in_runtime(async move {
-        let (hangup, mut stop) = signals()?;
-        let config = read()?;
+        let (hangup, mut stop) = needed(async || signals::listen()).await?;
+        let config = configured(&read).await?;
         let operators = match config.operator {
-            Some(address) => Some(TcpListener::bind(address).await?),
+            Some(address) => Some(needed(async || TcpListener::bind(address).await).await?),
             None => None,
         };
         let alone = match &operators {
             Some(_) => None,
-            None => Some(Rc::new(TcpListener::bind(config.listen).await?)),
+            None => Some(Rc::new(needed(async || TcpListener::bind(config.listen).await).await?)),
         };
         let talks = if operator.membership.is_some() { MEMBERS } else { 0 };
         let later = talks + if alone.is_some() { 0 } else { UPGRADE };
@@ -162,9 +163,9 @@
     read: impl Fn() -> Result<FrontFile, Error> + 'static,
 ) -> Result<(), Failure> {
     in_runtime(async move {
-        let (hangup, stop) = signals()?;
-        let file = read()?;
-        let listener = Rc::new(TcpListener::bind(file.listen).await?);
+        let (hangup, stop) = needed(async || signals::listen()).await?;
+        let file = configured(&read).await?;
+        let listener = Rc::new(needed(async || TcpListener::bind(file.listen).await).await?);
         if operator.membership.is_some() {
             log::warn!("membership stays off: this front does not take part in it");
         }
@@ -192,8 +193,21 @@
     })
 }
 
+/// The runtime; its own calls may fail for a moment too.
+fn runtime() -> io::Result<Runtime> {
+    let (since, mut pauses) = (std::time::Instant::now(), Pauses::default());
+    loop {
+        match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+            Err(error) if failure::may_pass(&error) && since.elapsed() < START => {
+                std::thread::sleep(pauses.next());
+            }
+            done => return done,
+        }
+    }
+}
+
 fn in_runtime(main: impl Future<Output = Result<(), Failure>>) -> Result<(), Failure> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = runtime()?;
     LocalSet::new().block_on(&runtime, main)
 }
 
@@ -269,12 +283,13 @@
 /// Reads the configuration again at each SIGHUP, and says what holds from now on; nothing that is in flight notices.
 /// A faulty file changes nothing.
 async fn reload(
-    mut hangups: Signal,
+    hangups: Hangup,
     places: Rc<Places>,
     recording: Recording,
     mut read: impl FnMut() -> Result<String, Error>,
 ) {
-    while hangups.recv().await.is_some() {
+    loop {
+        hangups.told().await;
         let _place = places.take(Side::Files).await;
         match read() {
             Ok(what) => {
--- a/src/program/upgrade.rs
+++ b/src/program/upgrade.rs
@@ -3,10 +3,12 @@
 
 use super::process::Allowed;
 use crate::fronts::operators::{Change, Pair};
+use crate::limits::Side;
 use crate::protocol::handover::{Message, State};
-use crate::routing::{Broker, Clock};
+use crate::routing::{Broker, Clock, Invariant};
 use crate::service::stage::Call;
 use crate::service::{Stage, Succession};
+use crate::transport::failure;
 use crate::transport::gate::Gate;
 use crate::transport::relay::{Lost, Meeting, Relay};
 use std::cell::{Cell, RefCell};
@@ -23,6 +25,9 @@
 
 /// How long the other process may take to answer before it counts as hung.
 const ANSWER: Duration = Duration::from_secs(2);
+/// How long a predecessor that cannot be heard is asked at least, before this process listens beside it: one that hangs
+/// must not keep this one from serving.
+const UNHEARD: Duration = Duration::from_secs(3);
 /// How long a successor waits for discovery at most: it has the list that was passed on.
 const DISCOVERY: Duration = Duration::from_secs(1);
 /// How often one that has to wait asks again.
@@ -36,6 +41,44 @@
 /// Changes that may wait to be told to the other process; operators make them by hand.
 const CHANGES: usize = 256;
 
+/// What became of asking a predecessor to hand over.
+enum Asked {
+    /// Nobody is there.
+    Absent,
+    /// Another upgrade is under way.
+    Waits,
+    /// It passes this on, with its listening socket.
+    HandsOver(Box<State>, TcpListener, Relay),
+    /// Its listening socket came, and nothing else that can be used: it is of another version.
+    SocketAlone(TcpListener, String),
+    /// It is there, as far as can be told, and cannot be heard.
+    Unheard(String),
+}
+
+/// How long a predecessor is asked that cannot be heard.
+struct Patience {
+    since: Instant,
+    said: bool,
+}
+
+impl Default for Patience {
+    fn default() -> Patience {
+        Patience { since: Instant::now(), said: false }
+    }
+}
+
+impl Patience {
+    fn is_over(&self) -> bool {
+        self.since.elapsed() >= UNHEARD
+    }
+
+    fn say(&mut self, why: &str) {
+        if !std::mem::replace(&mut self.said, true) {
+            log::warn!("upgrade: the process before cannot be heard yet, it is asked again: {why}");
+        }
+    }
+}
+
 /// One process's part in upgrades.
 pub struct Upgrade {
     broker: Broker,
@@ -92,56 +135,84 @@
         Ok(listener)
     }
 
-    /// Asks whoever serves there to hand over, for as long as it says to wait.
+    /// Asks whoever serves there to hand over, for as long as it says to wait. One that is there but cannot be heard, or
+    /// whose socket does not come, is asked again for a while: two that know nothing of each other would each use all
+    /// that both may.
     async fn take_over(self: &Rc<Self>) -> Option<TcpListener> {
+        let mut patience = Patience::default();
         loop {
-            let mut relay = timeout(ANSWER, self.meeting.find()).await.ok()??;
-            let join = Message::Join { listen: self.listen.to_string() };
-            let asked = async {
-                match relay.send(&join).await {
-                    Ok(()) => relay.receive_with().await,
-                    Err(lost) => (Err(lost), None),
-                }
-            };
-            let (said, socket) = match timeout(ANSWER, asked).await {
-                Ok(answer) => answer,
-                Err(_) => (Err(io::Error::from(io::ErrorKind::TimedOut).into()), None),
-            };
-            let listener = socket.and_then(|socket| self.inherit(socket));
-            match said {
-                Ok(Message::State(state)) => {
-                    self.waits.set(false);
-                    let passed = format!(
-                        "{} workers, {} out by hand",
-                        state.list.members.len(),
-                        state.bans.all().count()
-                    );
-                    let (upgrade, tell) = (self.clone(), self.connect());
-                    self.apply(*state);
-                    self.succession.borrow_mut().inherits();
-                    self.share().await;
-                    log::info!("upgrade: taking over: {passed}");
-                    spawn_local(async move { upgrade.follow(relay, tell).await });
-                    return listener;
-                }
-                Ok(Message::Busy) => {
+            match self.ask().await {
+                Asked::Absent => return None,
+                Asked::Waits => {
                     if !self.waits.replace(true) {
                         log::warn!("upgrade: another one is under way; waiting for its end");
                     }
-                    tokio::time::sleep(AGAIN).await;
+                    patience = Patience::default();
                 }
-                Ok(other) => {
-                    log::warn!("upgrade: nothing is taken over but the socket: unexpected {other:?}");
-                    return listener;
+                Asked::HandsOver(state, listener, relay) => {
+                    self.waits.set(false);
+                    self.succeed(*state, relay).await;
+                    return Some(listener);
+                }
+                Asked::SocketAlone(listener, why) => {
+                    log::warn!("upgrade: nothing is taken over but the socket: {why}");
+                    return Some(listener);
                 }
-                Err(lost) => {
-                    log::warn!("upgrade: nothing is taken over but the socket, if that came: {lost}");
-                    return listener;
+                Asked::Unheard(why) if patience.is_over() => {
+                    log::error!(
+                        "upgrade: nothing is taken over, and this process listens beside another: {why}"
+                    );
+                    self.broker.violated(Invariant::StartedAlone, &why);
+                    return None;
                 }
+                Asked::Unheard(why) => patience.say(&why),
+            }
+            tokio::time::sleep(AGAIN).await;
+        }
+    }
+
+    /// Asks once.
+    async fn ask(&self) -> Asked {
+        let mut relay = match timeout(ANSWER, self.meeting.find()).await {
+            Ok(Ok(Some(relay))) => relay,
+            Ok(Ok(None)) => return Asked::Absent,
+            Ok(Err(error)) => return Asked::Unheard(error.to_string()),
+            Err(_) => return Asked::Unheard("it takes no connection".to_owned()),
+        };
+        let join = Message::Join { listen: self.listen.to_string() };
+        let asked = async {
+            match relay.send(&join).await {
+                Ok(()) => relay.receive_with().await,
+                Err(lost) => (Err(lost), None),
             }
+        };
+        let Ok((said, socket)) = timeout(ANSWER, asked).await else {
+            return Asked::Unheard("it does not answer".to_owned());
+        };
+        let listener = socket.and_then(|socket| self.inherit(socket));
+        match (said, listener) {
+            (Ok(Message::State(state)), Some(listener)) => Asked::HandsOver(state, listener, relay),
+            (Ok(Message::State(_)), None) => Asked::Unheard("its socket did not come".to_owned()),
+            (Ok(Message::Busy), _) => Asked::Waits,
+            (Ok(other), Some(listener)) => Asked::SocketAlone(listener, format!("unexpected {other:?}")),
+            (Ok(other), None) => Asked::Unheard(format!("unexpected {other:?}")),
+            (Err(lost), Some(listener)) => Asked::SocketAlone(listener, lost.to_string()),
+            (Err(lost), None) => Asked::Unheard(lost.to_string()),
         }
     }
 
+    /// Takes over what a predecessor passed on, and follows it.
+    async fn succeed(self: &Rc<Self>, state: State, relay: Relay) {
+        let passed =
+            format!("{} workers, {} out by hand", state.list.members.len(), state.bans.all().count());
+        let (upgrade, tell) = (self.clone(), self.connect());
+        self.apply(state);
+        self.succession.borrow_mut().inherits();
+        self.share().await;
+        log::info!("upgrade: taking over: {passed}");
+        spawn_local(async move { upgrade.follow(relay, tell).await });
+    }
+
     /// The socket that came, if it is one that listens where this gatherer's clients connect.
     fn inherit(&self, socket: OwnedFd) -> Option<TcpListener> {
         let listener = std::net::TcpListener::from(socket);
@@ -166,18 +237,26 @@
     async fn bind(&self) -> io::Result<TcpListener> {
         let since = Instant::now();
         loop {
-            let socket = if self.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-            socket.set_reuseaddr(true)?;
-            socket.set_reuseport(true)?;
-            match socket.bind(self.listen).and_then(|()| socket.listen(QUEUE)) {
-                Err(error) if error.kind() == io::ErrorKind::AddrInUse && since.elapsed() < ADDRESS => {
+            match self.try_bind() {
+                Err(error) if since.elapsed() < ADDRESS && error.kind() == io::ErrorKind::AddrInUse => {
                     tokio::time::sleep(AGAIN).await;
                 }
+                Err(error) if since.elapsed() < ADDRESS && failure::may_pass(&error) => {
+                    tokio::time::sleep(AGAIN / 10).await;
+                }
                 bound => return bound,
             }
         }
     }
 
+    fn try_bind(&self) -> io::Result<TcpListener> {
+        let socket = if self.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.set_reuseport(true)?;
+        socket.bind(self.listen)?;
+        socket.listen(QUEUE)
+    }
+
     fn connect(&self) -> mpsc::Receiver<Message> {
         let (tell, told) = mpsc::channel(CHANGES);
         self.other.replace(Some(tell));
@@ -275,9 +354,17 @@
     async fn meet(self: &Rc<Self>, meeting: UnixListener) {
         let callers = Arc::new(Semaphore::new(CALLERS));
         loop {
-            let Ok((stream, _)) = meeting.accept().await else {
-                tokio::time::sleep(AGAIN).await;
-                continue;
+            let stream = match meeting.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log::debug!("upgrade: accept: {error}");
+                    if failure::is_out_of_descriptors(&error) {
+                        // One that a client holds loosely helps: a successor waits.
+                        self.gate.places().recall(Side::Clients);
+                    }
+                    tokio::time::sleep(AGAIN / 10).await;
+                    continue;
+                }
             };
             let Some(relay) = Relay::new(stream) else { continue };
             // Guards against one that connects and says nothing: the next is heard beside it. Past the bound it waits.
@@ -341,7 +428,7 @@
         self.succession.borrow_mut().successor_gone();
         self.other.take();
         // Where one that did not wait for this process serves beside it, starts go on finding that one.
-        let found = self.meeting.is_own() || self.meeting.find().await.is_some();
+        let found = self.meeting.is_own() || matches!(self.meeting.find().await, Ok(Some(_)));
         if !found && !self.gate.stage().stops() {
             self.be_found();
         }
--- /dev/null
+++ b/src/transport/failure.rs
@@ -0,0 +1,74 @@
+//! Failures of system calls that say something of this process or machine, and nothing of a peer: they pass.
+
+use rustix::io::Errno;
+use std::io;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// The pause after the first failure, and the longest one.
+const FIRST_PAUSE: Duration = Duration::from_millis(2);
+const LONGEST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Whether a call failed for want of something here: descriptors, buffers, memory, ports; or was interrupted.
+pub fn is_local(error: &io::Error) -> bool {
+    matches!(
+        Errno::from_io_error(error),
+        Some(
+            Errno::INTR
+                | Errno::AGAIN
+                | Errno::MFILE
+                | Errno::NFILE
+                | Errno::NOBUFS
+                | Errno::NOMEM
+                | Errno::ADDRNOTAVAIL
+        )
+    )
+}
+
+/// Whether a call for descriptors failed because there are none.
+pub fn is_out_of_descriptors(error: &io::Error) -> bool {
+    matches!(Errno::from_io_error(error), Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM))
+}
+
+/// Whether a call may do better in a moment: what is local, a network that is not there yet, a disk that fails.
+pub fn may_pass(error: &io::Error) -> bool {
+    let other = matches!(
+        Errno::from_io_error(error),
+        Some(Errno::CONNABORTED | Errno::NETUNREACH | Errno::NETDOWN | Errno::IO | Errno::NOSPC)
+    );
+    other || is_local(error)
+}
+
+/// The pauses between tries of a call that fails for a moment: they grow.
+#[derive(Clone, Copy, Debug)]
+pub struct Pauses(Duration);
+
+impl Default for Pauses {
+    fn default() -> Pauses {
+        Pauses(FIRST_PAUSE)
+    }
+}
+
+impl Pauses {
+    /// The next one.
+    pub fn next(&mut self) -> Duration {
+        let pause = self.0;
+        self.0 = (pause * 2).min(LONGEST_PAUSE);
+        pause
+    }
+}
+
+/// Makes a call again for as long as it fails in a way that may pass, but not for longer than `limit`.
+pub async fn retry<T>(
+    limit: Duration,
+    may_pass: impl Fn(&io::Error) -> bool,
+    mut call: impl AsyncFnMut() -> io::Result<T>,
+) -> io::Result<T> {
+    let (since, mut pauses) = (Instant::now(), Pauses::default());
+    loop {
+        match call().await {
+            Err(error) if may_pass(&error) && since.elapsed() < limit => sleep(pauses.next()).await,
+            done => return done,
+        }
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod desk;
+pub mod failure;
 pub mod gate;
 pub mod index_servers;
 pub mod listener;
--- a/src/transport/relay.rs
+++ b/src/transport/relay.rs
@@ -74,17 +74,24 @@
         })
     }
 
-    /// Finds a process that waits there.
-    pub async fn find(&self) -> Option<Relay> {
+    /// Finds a process that waits there; `None` where there is none. A call that fails here says nothing of that.
+    pub async fn find(&self) -> io::Result<Option<Relay>> {
         let stream = match UnixStream::connect(&self.path).await {
             Ok(stream) => stream,
-            Err(_) => {
-                let stream = std::os::unix::net::UnixStream::connect_addr(&self.nameless().ok()?).ok()?;
-                stream.set_nonblocking(true).ok()?;
-                UnixStream::from_std(stream).ok()?
-            }
+            Err(error) if is_absent(&error) => match self.connect_nameless() {
+                Ok(stream) => stream,
+                Err(error) if is_absent(&error) => return Ok(None),
+                Err(error) => return Err(error),
+            },
+            Err(error) => return Err(error),
         };
-        Relay::new(stream)
+        Ok(Relay::new(stream))
+    }
+
+    fn connect_nameless(&self) -> io::Result<UnixStream> {
+        let stream = std::os::unix::net::UnixStream::connect_addr(&self.nameless()?)?;
+        stream.set_nonblocking(true)?;
+        UnixStream::from_std(stream)
     }
 
     /// Whether the file there is this process's own.
@@ -103,6 +110,11 @@
     }
 }
 
+/// Whether nobody waits there.
+fn is_absent(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused)
+}
+
 /// A connection to the other process.
 #[derive(Debug)]
 pub struct Relay {
