Three tests that fail: an aborted accept, a file that cannot be read, a starved connect

Seen on the program before their fixes: 40 aborted accepts take 0.8 s and call clients back; a configuration that cannot be read at SIGHUP (EIO, ENFILE) is never read again; six failures of connect for want of descriptors end attempts as refused by their workers.

--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -61,7 +61,7 @@
     loop {
         match read() {
             Err(error) if error.may_pass() && since.elapsed() < START => {
-                tokio::time::sleep(pauses.next()).await;
+                tokio::time::sleep(pauses.next_pause()).await;
             }
             done => return done,
         }
@@ -199,7 +199,7 @@
     loop {
         match tokio::runtime::Builder::new_current_thread().enable_all().build() {
             Err(error) if failure::may_pass(&error) && since.elapsed() < START => {
-                std::thread::sleep(pauses.next());
+                std::thread::sleep(pauses.next_pause());
             }
             done => return done,
         }
--- a/src/transport/failure.rs
+++ b/src/transport/failure.rs
@@ -51,7 +51,7 @@
 
 impl Pauses {
     /// The next one.
-    pub fn next(&mut self) -> Duration {
+    pub fn next_pause(&mut self) -> Duration {
         let pause = self.0;
         self.0 = (pause * 2).min(LONGEST_PAUSE);
         pause
@@ -67,7 +67,7 @@
     let (since, mut pauses) = (Instant::now(), Pauses::default());
     loop {
         match call().await {
-            Err(error) if may_pass(&error) && since.elapsed() < limit => sleep(pauses.next()).await,
+            Err(error) if may_pass(&error) && since.elapsed() < limit => sleep(pauses.next_pause()).await,
             done => return done,
         }
     }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -93,3 +93,18 @@
     second.logged(" serving on ");
     first.logged("upgrade: the successor serves");
 }
+
+#[test]
+fn a_configuration_that_cannot_be_read_at_sighup_is_read_again() {
+    let (folder, worker) = (Folder::new("unreadable"), Worker::start());
+    let discovery = Discovery::start(&member("w1", &worker.address));
+    let switch = folder.0.join("faults");
+    let gatherer = Gatherer::begin_with_faults(&folder, &config(&discovery), "seed=5,open=1", Some(&switch));
+    gatherer.logged(" serving on ");
+    std::fs::write(&switch, "").expect("written");
+    thread::sleep(Duration::from_millis(20));
+    gatherer.signal("-HUP");
+    gatherer.logged("configuration not read again");
+    std::fs::remove_file(&switch).expect("removed");
+    gatherer.logged("configuration read again");
+}
--- a/tests/listener.rs
+++ b/tests/listener.rs
@@ -46,6 +46,10 @@
     }
 }
 
+/// Too many open files; a connection that was reset before it was accepted.
+const EMFILE: i32 = 24;
+const ECONNABORTED: i32 = 103;
+
 /// A gate with a listener in front of it.
 struct House {
     gate: Rc<Gate>,
@@ -54,15 +58,15 @@
     accepting: JoinHandle<()>,
 }
 
-/// Fails for want of descriptors before each connection that it takes.
-struct Short(TcpListener, Cell<u32>);
+/// Fails so often before it takes connections, with this error of the system.
+struct Short(TcpListener, Cell<u32>, i32);
 
 impl Accept for Short {
     fn accept(&self) -> Accepting<'_> {
         Box::pin(async move {
             if self.1.get() > 0 {
                 self.1.set(self.1.get() - 1);
-                return Err(io::Error::other("Too many open files"));
+                return Err(io::Error::from_raw_os_error(self.2));
             }
             let accepted = Accept::accept(&self.0).await;
             self.1.set(1);
@@ -76,13 +80,16 @@
         House::with_memory(descriptors, failures, 4 << 20).await
     }
     async fn with_memory(descriptors: usize, failures: u32, bytes: usize) -> House {
+        House::failing(descriptors, failures, EMFILE, bytes).await
+    }
+    async fn failing(descriptors: usize, failures: u32, error: i32, bytes: usize) -> House {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let places = Places::new(Plan::new(descriptors, 16, 0).expect("enough"), bytes);
         let (gate, held) = (Gate::new(places), Rc::new(Semaphore::new(0)));
         let front = Rc::new(Echo(held.clone()));
         let accepting = if failures > 0 {
-            spawn_local(accept(Short(listener, Cell::new(failures)), front, gate.clone()))
+            spawn_local(accept(Short(listener, Cell::new(failures), error), front, gate.clone()))
         } else {
             spawn_local(accept(listener, front, gate.clone()))
         };
@@ -433,3 +440,16 @@
         house.accepting.await.expect("accepting ends");
     });
 }
+
+#[test]
+fn an_accept_that_fails_for_no_want_of_descriptors_costs_no_client_and_no_time() {
+    run(async {
+        let house = House::failing(64, 40, ECONNABORTED, 4 << 20).await;
+        let since = std::time::Instant::now();
+        let mut client = house.client().await;
+        assert!(ask(&mut client, "/a").await.starts_with("HTTP/1.1 200 OK\r\n"));
+        let (took, tally) = (since.elapsed(), house.gate.places().tally.borrow().clone());
+        assert_eq!((tally.accept_failed, tally.gave_way), (40, 0), "{tally}");
+        assert!(took < Duration::from_millis(400), "40 failures took {took:?}");
+    });
+}
--- a/tests/workers.rs
+++ b/tests/workers.rs
@@ -8,7 +8,7 @@
 use clayshore::transport::places::{Place, Places};
 use clayshore::transport::stream::{Dial, Dialling, Stream};
 use clayshore::transport::workers::Workers;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
@@ -260,3 +260,28 @@
         client.abort();
     });
 }
+
+/// Fails to open connections for want of descriptors, so often; then to workers that serve at once.
+struct Starved(Cell<u32>);
+
+impl Dial for Starved {
+    fn dial<'a>(&'a self, address: &'a str) -> Dialling<'a> {
+        const ENFILE: i32 = 23;
+        if self.0.get() > 0 {
+            self.0.set(self.0.get() - 1);
+            return Box::pin(async { Err(std::io::Error::from_raw_os_error(ENFILE)) });
+        }
+        Box::pin(async move { Answering(Duration::from_millis(1)).dial(address).await })
+    }
+}
+
+#[test]
+fn a_connection_that_fails_for_want_of_descriptors_is_no_fault_of_its_worker() {
+    // Guards against suspicion of workers, and then of their zone, for what fails in this process.
+    run_on(Rc::new(Starved(Cell::new(6))), |broker, _| async move {
+        let verdict = broker.ask(ask("starved", "seal", 2, &broker)).await;
+        assert!(matches!(verdict, Verdict::Answered { whole: true, .. }), "{verdict:?}");
+        let counted = broker.core(|core| core.counters.clone());
+        assert_eq!((counted.ended_refused, broker.core(|core| core.avoided())), (0, 0), "{counted}");
+    });
+}
