--- a/tests/records.rs
+++ b/tests/records.rs
@@ -21,6 +21,8 @@
     /// Calls until the next failure, and how many fail then.
     fails_in: Option<(usize, usize)>,
     calls: usize,
+    /// Segments are removed by another process just before this one would.
+    shared: bool,
 }
 
 impl Fake {
@@ -59,7 +61,8 @@
     }
     fn remove(&mut self, file: &str) -> io::Result<()> {
         self.step()?;
-        self.files.remove(file).map(|_| ()).ok_or_else(|| io::ErrorKind::NotFound.into())
+        let removed = self.files.remove(file).filter(|_| !self.shared);
+        removed.map(|_| ()).ok_or_else(|| io::ErrorKind::NotFound.into())
     }
 }
 
@@ -90,6 +93,15 @@
     (0..count).map(line).collect()
 }
 
+#[test]
+fn two_processes_of_an_upgrade_that_share_a_folder_lose_no_line_to_each_other() {
+    let mut writer = Writer::new(Fake { shared: true, ..Fake::default() }, "g0", "s1", BOUNDS);
+    for number in 0..100 {
+        let written = writer.write(Time(number * 1_000_000_000), number * 1000, body(number));
+        assert!(written, "line {number}: {}", writer.why());
+    }
+}
+
 #[test]
 fn a_disk_that_fails_at_every_point_in_turn_loses_what_it_says_it_lost() {
     for fails_at in 0..60 {
