Index servers that move, searches that run once, segments that another process removed

Changes: a server at a new address is another link, and the old one ends as its searches do; what runs once dials; NotFound of a removal is no failure. The other removals of files were read: relay.rs listen and leave drop the error on purpose.

--- a/src/records/writer.rs
+++ b/src/records/writer.rs
@@ -131,7 +131,11 @@
             let found = found.into_iter().filter_map(|(file, bytes)| Some((Name::read(&file)?, bytes)));
             let coming = self.bounds.segment.max(more);
             for old in surplus(found.collect(), &name, &self.bounds, coming) {
-                self.disk.remove(&old.file())?;
+                match self.disk.remove(&old.file()) {
+                    // The other process of an upgrade, which writes here too, was faster.
+                    Err(error) if error.kind() == io::ErrorKind::NotFound => {}
+                    removed => removed?,
+                }
             }
             self.disk.begin(&name.file())?;
             self.segment = Some(Rotation::new(self.bounds, now));
--- a/src/transport/index_servers.rs
+++ b/src/transport/index_servers.rs
@@ -98,7 +98,9 @@
         if !link.open.get() {
             return End::bare(Outcome::Skipped);
         }
-        let (mut stream, place) = match self.kept(link).await {
+        // Guards what runs once against a kept connection that the server closes just then: it may have run, and is lost.
+        let kept = if part.at_most_once { None } else { self.kept(link).await };
+        let (mut stream, place) = match kept {
             Some(kept) => kept,
             None => {
                 // Nothing has run where there was no place for it.
@@ -181,6 +183,12 @@
 impl Carrier for IndexServers {
     fn member(&self, leaf: LeafId, _name: &str, address: &str, open: bool) {
         let mut links = self.0.links.borrow_mut();
+        // One that moves is another server: what waits for the old one is not sent, what is out there goes on.
+        let moved = links.get(&leaf).is_some_and(|link| link.address != address);
+        let before = if moved { links.remove(&leaf) } else { None };
+        if let Some(before) = &before {
+            before.open.set(false);
+        }
         let link = links.entry(leaf).or_insert_with(|| {
             Rc::new(Link {
                 address: address.to_owned(),
@@ -190,6 +198,9 @@
             })
         });
         link.open.set(open);
+        drop(links);
+        // Its idle connections give their places back, so nothing may be borrowed here.
+        drop(before);
     }
 
     fn gone(&self, leaf: LeafId) {
