--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -8,6 +8,7 @@
 use clayshore::limits::{Backoff, Plan};
 use clayshore::program::config::Config;
 use clayshore::protocol::http::{self, Request, Response};
+use clayshore::records::line::{Body, WorkerState};
 use clayshore::routing::{Broker, Clock, Core};
 use clayshore::transport::places::Places;
 use clayshore::transport::stream::{Dial, Dialling, Stream};
@@ -342,3 +343,33 @@
     assert_eq!(workers.map(|worker| worker.parts()), [0, 1]);
     drop(idle);
 }
+
+#[test]
+fn a_worker_whose_start_lies_in_the_future_by_a_stepped_clock_grows_warm_in_its_time() {
+    // Guards against a wall clock that was stepped back as this process started: for an hour every worker would be cold.
+    let json: serde_json::Value = serde_json::from_str(include_str!("scenario/platform.json")).expect("JSON");
+    let config = Config::from_json(&json, |_| None).expect("a configuration");
+    let (mut core, begun) = (Core::new(config.contracts), Time(1 << 60));
+    core.figures = Some(Default::default());
+    let mut list = config.known.expect("a list");
+    list.members.truncate(1);
+    list.members[0].since = Some(begun.after(Duration::from_secs(3600)));
+    let state = |core: &mut Core| {
+        core.news
+            .drain(..)
+            .filter_map(|body| match body {
+                Body::Worker { state, .. } => Some(state),
+                _ => None,
+            })
+            .last()
+    };
+    core.learn(begun, &list, false);
+    assert_eq!(state(&mut core), Some(WorkerState::Cold));
+    let warm_up = core.contracts().settings.warm_up;
+    core.learn(begun.after(warm_up), &list, false);
+    assert_eq!(state(&mut core), Some(WorkerState::Active));
+    // A further start is another one.
+    list.members[0].since = Some(begun.after(Duration::from_secs(3700)));
+    core.learn(begun.after(warm_up * 2), &list, false);
+    assert_eq!(state(&mut core), Some(WorkerState::Cold));
+}
