A worker that is told to start in the future is cold from when that was told

Cause: rules.rs reckons a worker's age from up_since_ms by the clock that was read at the start; a later start gives an age of 0 until the clock reaches it (cold_allows, membership). Ruled out: steps while the process runs, since Clock goes by the monotonic clock. Change: routing/start_times.rs holds a start after now to have been as it was first told.

--- a/src/routing/core/workers.rs
+++ b/src/routing/core/workers.rs
@@ -53,7 +53,7 @@
     pub fn learn(&mut self, now: Time, listing: &Listing, cached: bool) {
         self.counters.listings += 1;
         self.heard_discovery |= !cached;
-        let (entries, orders) = self.workers.take(&self.contracts, listing);
+        let (entries, orders) = self.workers.take(now, &self.contracts, listing);
         self.orders.extend(orders);
         self.record_list(now, listing, &entries);
         self.workers.forget_gone(&self.in_flight);
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -13,6 +13,7 @@
 pub mod order;
 pub mod query;
 pub mod scroll_contexts;
+mod start_times;
 mod worker_list;
 pub mod worker_registry;
 mod worker_states;
--- a/src/routing/worker_list.rs
+++ b/src/routing/worker_list.rs
@@ -4,6 +4,7 @@
 use super::contracts::Contracts;
 use super::in_flight::InFlight;
 use super::order::Order;
+use super::start_times::StartTimes;
 use super::worker_registry::{Listing, Member, WorkerRegistry};
 use crate::api::*;
 use crate::service::Bans;
@@ -20,6 +21,8 @@
     /// Who is out by hand.
     pub bans: Bans,
     listed: HashMap<LeafId, Member>,
+    /// Starts that lie in the future.
+    starts: StartTimes,
 }
 
 impl WorkerList {
@@ -62,13 +65,14 @@
     }
 
     /// Takes news of discovery: an entry for each member that it names, and what the transport is to do.
-    pub fn take(&mut self, contracts: &Contracts, listing: &Listing) -> (Vec<Entry>, Vec<Order>) {
+    pub fn take(&mut self, now: Time, contracts: &Contracts, listing: &Listing) -> (Vec<Entry>, Vec<Order>) {
         let mut entries = Vec::new();
         let mut orders = Vec::new();
         let mut named = HashSet::new();
         for member in &listing.members {
             let worker = self.registry.id(&member.name);
             named.insert(worker);
+            self.starts.learn(now, worker, member.since);
             let entry = self.entry(contracts, worker, member);
             if member.status == Status::Gone {
                 self.listed.remove(&worker);
@@ -83,6 +87,7 @@
             let gone = self.listed.extract_if(|worker, _| !named.contains(worker));
             orders.extend(gone.map(|(worker, _)| Order::Gone { worker }));
         }
+        self.starts.retain(|worker| self.listed.contains_key(&worker));
         (entries, orders)
     }
 
@@ -94,7 +99,7 @@
             cell: CellId(member.cell),
             status: self.bans.status(&member.name, member.status),
             units: member.units,
-            since: self.bans.since(&member.name, member.since),
+            since: self.bans.since(&member.name, self.starts.held(worker, member.since)),
         }
     }
 
