Play a short soak in the tests

Seed 11, 8 s, two gatherers, six workers, eight clients, beside the proofs that each invariant can fall.

--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -361,7 +361,7 @@
                 Body::Worker { state, .. } => Some(state),
                 _ => None,
             })
-            .last()
+            .next_back()
     };
     core.learn(begun, &list, false);
     assert_eq!(state(&mut core), Some(WorkerState::Cold));
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,5 +1,7 @@
 //! The soak's judge: each invariant's own proof that it can fail, and that what is allowed is no failure.
 
+mod common;
+
 use clayshore::soak::judge::*;
 use clayshore::soak::plan;
 use std::time::Duration;
@@ -127,3 +129,28 @@
     let overlaps = troubles.windows(2).filter(|two| two[0].at + two[0].lasts > two[1].at).count();
     assert!(overlaps * 2 > troubles.len(), "{overlaps} of {}", troubles.len());
 }
+
+#[test]
+fn a_short_soak_of_real_processes_breaks_no_invariant() {
+    let library = common::process::faults_library();
+    let logs = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("soak");
+    let mut soak = std::process::Command::new(env!("CARGO_BIN_EXE_clayshore-soak"));
+    soak.args([
+        "run",
+        "--seed",
+        "11",
+        "--seconds",
+        "8",
+        "--gatherers",
+        "2",
+        "--workers",
+        "6",
+        "--clients",
+        "8",
+    ]);
+    soak.arg("--program").arg(env!("CARGO_BIN_EXE_clayshore")).arg("--library").arg(library);
+    let played = soak.arg("--logs").arg(logs).output().expect("it is played");
+    let said = String::from_utf8_lossy(&played.stdout);
+    assert!(played.status.success(), "{said}{}", String::from_utf8_lossy(&played.stderr));
+    assert!(said.contains("no invariant fell"), "{said}");
+}
