Soak with records and membership; interrupted datagrams and starved connects of members

Same mistake elsewhere, in transport/members.rs: an interrupted receive paused for 20 ms, an interrupted send was a datagram lost, and a connect that failed for want of descriptors counted as silence of the member that was probed. They are made again now, bounded. The soak's gatherers keep records (with refused writes) and take part in membership.

--- a/src/bin/clayshore-soak/fleet.rs
+++ b/src/bin/clayshore-soak/fleet.rs
@@ -158,6 +158,8 @@
     pub library: Option<PathBuf>,
     /// Where logs are kept.
     pub logs: Option<PathBuf>,
+    /// Where each gatherer takes part in membership.
+    pub members: Vec<String>,
     /// Gatherers and workers.
     pub counts: (usize, usize),
 }
@@ -197,12 +199,27 @@
         })
     }
 
+    /// Has it keep records, and take part in membership.
+    fn operator_file(&self) -> PathBuf {
+        let folder = self.files.folder.join(format!("records-{}", self.number));
+        let seeds: Vec<String> = self.files.members.iter().map(|address| format!("{address:?}")).collect();
+        let text = format!(
+            "[records]\nfolder = {folder:?}\nsegment_kb = 64\nall_kb = 256\n[membership]\nlisten = {:?}\ncluster = \"soak\"\nsecret = \"sixteen bytes or more\"\nseeds = [{}]\n",
+            self.files.members[self.number],
+            seeds.join(", ")
+        );
+        let file = self.files.folder.join(format!("operator-{}.toml", self.number));
+        std::fs::write(&file, text).expect("written");
+        file
+    }
+
     /// Starts a process beside what runs.
     pub fn start(&self, faults: &str, seen: &RefCell<Observations>) -> Running {
         let operators = free();
         let file = self.file(&operators);
         std::fs::write(&file, self.configuration(&operators).to_string()).expect("written");
         let mut command = Command::new(&self.files.program);
+        command.args(["serve", "--operator"]).arg(self.operator_file());
         command.env_clear().env("LB_CONFIG", &file).env("TMPDIR", &self.files.folder).stderr(Stdio::piped());
         if let Some(library) = &self.files.library {
             command.env("LD_PRELOAD", library).env("FAULTS", faults).env("FAULTS_SWITCH", self.switch());
@@ -292,7 +309,7 @@
 }
 
 /// An address that no stand-in and no client uses.
-fn free() -> String {
+pub fn free() -> String {
     let [a, b, c, ..] = fastrand::u32(..).to_le_bytes();
     let listener = TcpListener::bind((Ipv4Addr::new(127, a.max(1), b, c), 0)).expect("a port");
     listener.local_addr().expect("an address").to_string()
@@ -305,7 +322,7 @@
     };
     json!({
         "allowed": {"cancel": true, "second-copies": true, "most-tries": 4, "retry-after": true,
-            "max-retry-after": 200_000_000, "max-open": 600, "connect-timeout": 250_000_000,
+            "max-retry-after": 200_000_000, "max-open": 600, "may-tell": true, "connect-timeout": 250_000_000,
             "conn-idle": 2_000_000_000, "multiplex": 32},
         "categories": [class("search", "repeatable"), class("seal", "once")],
         "tenants": [{"name": "bank", "quota-per-s": 10_000.0}],
--- a/src/bin/clayshore-soak/stage.rs
+++ b/src/bin/clayshore-soak/stage.rs
@@ -98,6 +98,7 @@
             program: run.program.clone(),
             library,
             logs: run.logs.clone(),
+            members: (0..run.gatherers).map(|_| fleet::free()).collect(),
             counts: (run.gatherers, run.workers),
         });
         let cells = fleet::cells(run.workers);
--- a/src/transport/members.rs
+++ b/src/transport/members.rs
@@ -1,6 +1,7 @@
 //! The sockets of membership: datagrams, connections that prove whether a process is there, exchanges of whole tables.
 //! What is asked and concluded is decided in [`crate::membership`].
 
+use super::failure;
 use super::socket::Socket;
 use crate::membership::{Change, Knock, Message, Node, Order, Seen, State};
 use crate::protocol::gossip::{self, DATAGRAM, Seal, Unusable};
@@ -28,9 +29,16 @@
 const EXCHANGE: Duration = Duration::from_secs(2);
 /// How often an address is tried that a process before still holds.
 const BIND_AGAIN: Duration = Duration::from_millis(100);
+/// How often a datagram is sent again whose sending was interrupted.
+const SEND_AGAIN: u32 = 8;
 /// The pause after a socket's error that may last.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// Connects; a failure of this process's own calls is tried again for so long.
+async fn connect(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    failure::retry(limit, failure::is_local, async || TcpStream::connect(address).await).await
+}
+
 /// Who is told of what membership finds.
 pub trait Listener {
     /// A member stands otherwise than before.
@@ -181,6 +189,7 @@
                     Ok(message) => self.hear(message),
                     Err(why) => self.refuse(why),
                 },
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 // Another's machine refused what was sent: nothing to do with what comes next.
                 Err(_) => tokio::time::sleep(PAUSE).await,
             }
@@ -236,7 +245,17 @@
     }
 
     fn send(&self, socket: &UdpSocket, to: SocketAddr, message: &Message) {
-        let sent = self.seal.close(message).map(|bytes| socket.try_send_to(&bytes, to));
+        let send = |bytes: Vec<u8>| {
+            let mut sent = socket.try_send_to(&bytes, to);
+            for _ in 0..SEND_AGAIN {
+                if !matches!(&sent, Err(error) if error.kind() == io::ErrorKind::Interrupted) {
+                    break;
+                }
+                sent = socket.try_send_to(&bytes, to);
+            }
+            sent
+        };
+        let sent = self.seal.close(message).map(send);
         // A datagram that is not sent is one that is lost: the protocol bears it.
         if !matches!(sent, Ok(Ok(_))) {
             *self.refused.borrow_mut().entry("unsent".to_owned()).or_default() += 1;
@@ -247,7 +266,8 @@
     async fn knock(self: Rc<Members>, name: String, start: u64, address: SocketAddr) {
         let end = match self.own.try_acquire() {
             Err(_) => Knock::Silent,
-            Ok(_place) => match timeout(CONNECT, TcpStream::connect(address)).await {
+            // What fails here says nothing of the other: it is tried again.
+            Ok(_place) => match timeout(CONNECT, connect(address, CONNECT)).await {
                 Ok(Ok(_)) => Knock::Open,
                 Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Knock::Refused,
                 Ok(Err(_)) | Err(_) => Knock::Silent,
@@ -260,7 +280,7 @@
     async fn exchange(self: Rc<Members>, with: SocketAddr) {
         let Ok(_place) = self.own.try_acquire() else { return };
         let both = async {
-            let mut stream = Socket::new(TcpStream::connect(with).await.ok()?);
+            let mut stream = Socket::new(connect(with, EXCHANGE).await.ok()?);
             self.tell(&mut stream).await?;
             self.read(&mut stream).await
         };
