Rename the accept pacer and the operator API

Names of the field in place of the house's: limits/turnstile.rs is accept_pacer.rs, transport/desk.rs is operator_api.rs (Desk: OperatorApi, attend: serve). No behaviour changes; lib, listener and operators pass.

--- a/src/fronts/operators.rs
+++ b/src/fronts/operators.rs
@@ -6,9 +6,9 @@
 use crate::routing::invariants::INVARIANTS;
 use crate::service::Stage;
 use crate::service::stage::Call;
-use crate::transport::desk::Desk;
 use crate::transport::gate::Gate;
 use crate::transport::members::Members;
+use crate::transport::operator_api::OperatorApi;
 use bytes::Bytes;
 use percent_encoding::percent_decode_str;
 use std::rc::Rc;
@@ -119,7 +119,7 @@
     Response::text(405, format!("only {method}")).with("Allow", method)
 }
 
-impl Desk for Operators {
+impl OperatorApi for Operators {
     fn answer(&self, request: &Request) -> Response {
         // Guards against a yes to what the state that is passed on would undo.
         if request.method == "PUT"
--- a/src/limits/turnstile.rs
+++ b/src/limits/accept_pacer.rs
@@ -12,11 +12,11 @@
 
 /// Paces the accept loop. Time is wall time that the loop spent without waiting, which on one thread is its own.
 #[derive(Debug, Default)]
-pub struct Turnstile {
+pub struct AcceptPacer {
     burst: Option<(Time, u32)>,
 }
 
-impl Turnstile {
+impl AcceptPacer {
     /// Nobody waits at the door: the next burst starts afresh.
     pub fn idle(&mut self) {
         self.burst = None;
@@ -40,30 +40,29 @@
 
     #[test]
     fn a_flood_takes_a_quarter_of_the_time_and_a_trickle_none() {
-        let (mut turnstile, mut now, mut working, mut resting) =
-            (Turnstile::default(), Time(0), Duration::ZERO, Duration::ZERO);
+        let (mut pacer, mut now, mut working, mut resting) =
+            (AcceptPacer::default(), Time(0), Duration::ZERO, Duration::ZERO);
         let one = Duration::from_micros(20);
         for _ in 0..1600 {
             let begun = now;
             now = now.after(one);
             working += one;
-            if let Some(pause) = turnstile.passed(begun, now) {
+            if let Some(pause) = pacer.passed(begun, now) {
                 now = now.after(pause);
                 resting += pause;
             }
         }
         assert_eq!(resting, working * 3);
         for _ in 0..1600 {
-            turnstile.idle();
-            assert_eq!(turnstile.passed(now, now.after(one)), None);
+            pacer.idle();
+            assert_eq!(pacer.passed(now, now.after(one)), None);
         }
     }
 
     #[test]
     fn a_stalled_process_does_not_shut_the_door_for_long() {
-        let mut turnstile = Turnstile::default();
-        let pauses: Vec<_> =
-            (0..BURST).filter_map(|_| turnstile.passed(Time(0), Time(3_000_000_000))).collect();
+        let mut pacer = AcceptPacer::default();
+        let pauses: Vec<_> = (0..BURST).filter_map(|_| pacer.passed(Time(0), Time(3_000_000_000))).collect();
         assert_eq!(pauses, [LONGEST]);
     }
 }
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -2,6 +2,7 @@
 //! newcomers are let in, and what waits for a connection to a server. Plain values and times go in, decisions come
 //! out: no socket, no task, no clock.
 
+pub mod accept_pacer;
 pub mod backoff;
 pub mod bytes;
 pub mod crowd;
@@ -9,12 +10,11 @@
 pub mod lines;
 pub mod scarcity;
 pub mod tally;
-pub mod turnstile;
 
+pub use accept_pacer::AcceptPacer;
 pub use backoff::Backoff;
 pub use bytes::Bytes;
 pub use crowd::{Crowd, Source, Why};
 pub use descriptors::{Denied, Descriptors, Plan, Side};
 pub use scarcity::Scarcity;
 pub use tally::Tally;
-pub use turnstile::Turnstile;
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -18,12 +18,12 @@
 use crate::records::line::Body;
 use crate::routing::{Broker, Carrier, Clock, Contracts, Core, Invariant};
 use crate::service::stage::Call;
-use crate::transport::desk;
 use crate::transport::failure::{self, Pauses};
 use crate::transport::gate::Gate;
 use crate::transport::index_servers::IndexServers;
 use crate::transport::listener::{self, Front};
 use crate::transport::members::{CONNECTIONS, Members};
+use crate::transport::operator_api;
 use crate::transport::places::Places;
 use crate::transport::stream::{Dial, Tcp};
 use crate::transport::watch;
@@ -123,9 +123,9 @@
         if let (Some(listener), Some(upgrade)) = (operators, &upgrade) {
             log::info!("operators may call {}", listener.local_addr()?);
             let pair = upgrade.clone();
-            let desk =
+            let operators =
                 Operators { broker: broker.clone(), gate: gate.clone(), pair, members: members.clone() };
-            spawn_local(desk::attend(listener, Rc::new(desk), places.clone()));
+            spawn_local(operator_api::serve(listener, Rc::new(operators), places.clone()));
         }
         let listener = match (alone, &upgrade) {
             (Some(listener), _) => listener,
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -6,7 +6,7 @@
 use super::socket::Socket;
 use super::stream::Stream;
 use crate::limits::crowd::{Record, Source, Why};
-use crate::limits::{Side, Turnstile};
+use crate::limits::{AcceptPacer, Side};
 use crate::protocol::http::{self, Request, Response};
 use crate::routing::Invariant;
 use crate::service::Stage;
@@ -90,7 +90,7 @@
 /// Accepts connections until the gate closes; whoever has connected by then still gets an answer. It never waits for a
 /// place that nobody is about to leave, and takes its share of the time and no more while many come at once.
 pub async fn accept<F: Front + 'static>(listener: impl Accept, front: Rc<F>, gate: Rc<Gate>) {
-    let (mut turnstile, mut pauses) = (Turnstile::default(), Pauses::default());
+    let (mut pacer, mut pauses) = (AcceptPacer::default(), Pauses::default());
     loop {
         // What waits in the queue then is the successor's.
         if matches!(gate.stage(), Stage::Succeeded { .. }) {
@@ -105,7 +105,7 @@
         let accepted = match waiting {
             Some(accepted) => accepted,
             None => {
-                turnstile.idle();
+                pacer.idle();
                 let accepted = tokio::select! {
                     biased;
                     accepted = listener.accept() => accepted,
@@ -137,7 +137,7 @@
             }
         }
         pauses = Pauses::default();
-        if let Some(pause) = turnstile.passed(begun, gate.places().now()) {
+        if let Some(pause) = pacer.passed(begun, gate.places().now()) {
             tokio::time::sleep(pause).await;
         }
     }
--- a/src/transport/desk.rs
+++ b/src/transport/operator_api.rs
@@ -27,14 +27,14 @@
 const READ: usize = 4096;
 
 /// What answers operators' calls.
-pub trait Desk {
+pub trait OperatorApi {
     /// The answer to a call.
     fn answer(&self, request: &Request) -> Response;
 }
 
 /// Takes calls for as long as the process lives. Guards against callers that connect and say nothing, however many: the
 /// one that came first gives its place to the next.
-pub async fn attend<D: Desk + 'static>(listener: TcpListener, desk: Rc<D>, places: Rc<Places>) {
+pub async fn serve<D: OperatorApi + 'static>(listener: TcpListener, api: Rc<D>, places: Rc<Places>) {
     let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
@@ -52,13 +52,13 @@
             first.abort();
         }
         let place = places.take(Side::Operators).await;
-        let desk = desk.clone();
-        callers.push_back(spawn_local(async move { call(stream, &*desk, place).await }));
+        let api = api.clone();
+        callers.push_back(spawn_local(async move { call(stream, &*api, place).await }));
     }
 }
 
 /// The life of one call.
-async fn call(mut stream: Socket<TcpStream>, desk: &impl Desk, _place: Place) {
+async fn call(mut stream: Socket<TcpStream>, api: &impl OperatorApi, _place: Place) {
     let mut buffer = BytesMut::new();
     let arriving = async {
         loop {
@@ -74,7 +74,7 @@
         }
     };
     let response = match tokio::time::timeout(ARRIVE, arriving).await {
-        Ok(Some(Ok(request))) => desk.answer(&request),
+        Ok(Some(Ok(request))) => api.answer(&request),
         Ok(Some(Err(error))) => Response::text(error.status(), error.to_string()),
         Ok(None) => return,
         Err(_) => Response::text(408, "the call did not end in time"),
