Rename resource pressure and the buffer budget

limits/scarcity.rs is resource_pressure.rs (Scarcity: ResourcePressure), limits/bytes.rs is buffer_budget.rs (Bytes: BufferBudget).

--- a/src/limits/bytes.rs
+++ b/src/limits/buffer_budget.rs
@@ -4,16 +4,16 @@
 /// Hahne, "Dynamic queue length thresholds for shared-memory packet switches", 1998), so that one greedy peer takes
 /// half of it at most, many share what there is, and some stays free for whoever comes next.
 #[derive(Clone, Debug)]
-pub struct Bytes {
+pub struct BufferBudget {
     total: usize,
     least: usize,
     used: usize,
 }
 
-impl Bytes {
+impl BufferBudget {
     /// A budget of `total` bytes for at most `holders`; each of them always gets its even half-share.
-    pub fn new(total: usize, holders: usize) -> Bytes {
-        Bytes { total, least: total / holders.max(1) / 2, used: 0 }
+    pub fn new(total: usize, holders: usize) -> BufferBudget {
+        BufferBudget { total, least: total / holders.max(1) / 2, used: 0 }
     }
 
     /// Another sum, as when another process comes to share it or leaves.
--- a/src/limits/crowd.rs
+++ b/src/limits/crowd.rs
@@ -12,7 +12,7 @@
 //! Those who came only a moment ago are passed over in 1 to 3, and where sources can be told apart, one that holds
 //! more than its share gives before a well-behaved one of another does.
 
-use super::scarcity::Scarcity;
+use super::resource_pressure::ResourcePressure;
 use crate::api::Time;
 use std::collections::{BTreeSet, HashMap};
 use std::fmt;
@@ -295,11 +295,11 @@
     }
 
     /// Until when it may stay as it is, where places are so scarce. Nothing is due on a firm one.
-    fn due(&self, member: &Member, scarcity: Scarcity) -> Option<Time> {
+    fn due(&self, member: &Member, pressure: ResourcePressure) -> Option<Time> {
         let State::Loose(why) = member.state else { return None };
         let limit = |why: Why| {
             let Patience { calm, tight, .. } = PATIENCE[why as usize];
-            scarcity.limit(calm, tight)
+            pressure.limit(calm, tight)
         };
         Some(match why {
             Why::Slow => member.key.after(limit(why)).min(member.since.after(LONGEST)),
@@ -312,8 +312,8 @@
     }
 
     /// Tells those to leave whose time is up.
-    pub fn sweep(&mut self, now: Time, scarcity: Scarcity) -> Vec<(u64, Why)> {
-        let over = |member: &Member| self.due(member, scarcity).is_some_and(|due| due <= now);
+    pub fn sweep(&mut self, now: Time, pressure: ResourcePressure) -> Vec<(u64, Why)> {
+        let over = |member: &Member| self.due(member, pressure).is_some_and(|due| due <= now);
         let late = self.order.iter().filter(|(_, _, id)| self.members.get(id).is_some_and(over));
         let late: Vec<(u64, Why)> = late.map(|(why, _, id)| (*id, *why)).collect();
         for (id, _) in &late {
@@ -323,8 +323,8 @@
     }
 
     /// When the next one's time is up.
-    pub fn next_due(&self, scarcity: Scarcity) -> Option<Time> {
-        self.order.iter().filter_map(|(_, _, id)| self.due(self.members.get(id)?, scarcity)).min()
+    pub fn next_due(&self, pressure: ResourcePressure) -> Option<Time> {
+        self.order.iter().filter_map(|(_, _, id)| self.due(self.members.get(id)?, pressure)).min()
     }
 
     /// Tells the one to leave that is of least worth, for another that needs its place.
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -4,17 +4,17 @@
 
 pub mod accept_pacer;
 pub mod backoff;
-pub mod bytes;
+pub mod buffer_budget;
 pub mod crowd;
 pub mod descriptors;
 pub mod lines;
-pub mod scarcity;
+pub mod resource_pressure;
 pub mod tally;
 
 pub use accept_pacer::AcceptPacer;
 pub use backoff::Backoff;
-pub use bytes::Bytes;
+pub use buffer_budget::BufferBudget;
 pub use crowd::{Crowd, Source, Why};
 pub use descriptors::{Denied, Descriptors, Plan, Side};
-pub use scarcity::Scarcity;
+pub use resource_pressure::ResourcePressure;
 pub use tally::Tally;
--- a/src/limits/scarcity.rs
+++ b/src/limits/resource_pressure.rs
@@ -4,27 +4,27 @@
 
 /// From 0, where there is room for everyone, to 1, where the next one who comes needs another's place.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
-pub struct Scarcity(f64);
+pub struct ResourcePressure(f64);
 
-impl Scarcity {
+impl ResourcePressure {
     /// Room for everyone.
-    pub const NONE: Scarcity = Scarcity(0.0);
+    pub const NONE: ResourcePressure = ResourcePressure(0.0);
     /// None left.
-    pub const FULL: Scarcity = Scarcity(1.0);
+    pub const FULL: ResourcePressure = ResourcePressure(1.0);
 
-    /// Scarcity where `held` are taken: none up to `ease`, full from `tight` on, evenly between.
-    pub fn of(held: usize, ease: usize, tight: usize) -> Scarcity {
+    /// ResourcePressure where `held` are taken: none up to `ease`, full from `tight` on, evenly between.
+    pub fn of(held: usize, ease: usize, tight: usize) -> ResourcePressure {
         if held <= ease {
-            return Scarcity::NONE;
+            return ResourcePressure::NONE;
         }
         if held >= tight {
-            return Scarcity::FULL;
+            return ResourcePressure::FULL;
         }
-        Scarcity((held - ease) as f64 / (tight - ease) as f64)
+        ResourcePressure((held - ease) as f64 / (tight - ease) as f64)
     }
 
     /// The greater of the two.
-    pub fn or(self, other: Scarcity) -> Scarcity {
+    pub fn or(self, other: ResourcePressure) -> ResourcePressure {
         if other > self { other } else { self }
     }
 
--- a/src/transport/gate.rs
+++ b/src/transport/gate.rs
@@ -3,7 +3,7 @@
 
 use super::places::{Buffered, Place, Places};
 use crate::limits::crowd::{Record, Source, Why};
-use crate::limits::{Crowd, Denied, Scarcity, Side, Tally};
+use crate::limits::{Crowd, Denied, ResourcePressure, Side, Tally};
 use crate::service::stage::{Call, Refused};
 use crate::service::{Stage, Stages};
 use std::cell::{Cell, RefCell};
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
-/// How often time limits are looked at while any connection could leave: they move with scarcity.
+/// How often time limits are looked at while any connection could leave: they move with pressure.
 const TICK: Duration = Duration::from_millis(50);
 /// Time between two lines of the log about who was made to leave.
 const TELL: Duration = Duration::from_secs(5);
@@ -115,9 +115,9 @@
 
     /// How scarce places are for clients. Their own level comes first: what clients may hold at their end is less
     /// than what there is here, and who asked once and stays takes it from those who would come back.
-    pub fn scarcity(&self) -> Scarcity {
+    pub fn pressure(&self) -> ResourcePressure {
         let floor = self.places.descriptors(|all| all.plan().floors[Side::Clients as usize]);
-        Scarcity::of(self.open(), floor / 3, floor * 3 / 4).or(self.places.scarcity())
+        ResourcePressure::of(self.open(), floor / 3, floor * 3 / 4).or(self.places.pressure())
     }
 
     /// Lets a connection in. Where there is no place, the one of least worth is told to leave; none at all is to be
@@ -189,16 +189,16 @@
                     () = self.places.recalled(Side::Clients) => continue,
                 }
             }
-            let scarcity = self.scarcity();
-            let due = self.crowd.borrow().next_due(scarcity);
+            let pressure = self.pressure();
+            let due = self.crowd.borrow().next_due(pressure);
             let now = self.places.now();
             let due = due.map_or(TICK, |due| due.since(now)).min(TICK);
             tokio::select! {
                 () = self.places.recalled(Side::Clients) => self.make_room(),
                 () = tokio::time::sleep_until(self.places.moment(now.after(due))) => {}
             }
-            let scarcity = self.scarcity();
-            let late = self.crowd.borrow_mut().sweep(self.places.now(), scarcity);
+            let pressure = self.pressure();
+            let late = self.crowd.borrow_mut().sweep(self.places.now(), pressure);
             late.into_iter().for_each(|(id, why)| self.tell(id, why));
             let now = self.places.now();
             let early = self.places.tally.borrow().gave_way;
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -353,7 +353,7 @@
 }
 
 fn last_time(gate: &Gate) -> Duration {
-    gate.scarcity().limit(LAST, LAST_TIGHT)
+    gate.pressure().limit(LAST, LAST_TIGHT)
 }
 
 /// Says something last; whether the client takes it or not, the connection ends. True if it was written whole.
--- a/src/transport/places.rs
+++ b/src/transport/places.rs
@@ -4,7 +4,7 @@
 use crate::api::{LeafId, Time};
 use crate::limits::descriptors::SIDES;
 use crate::limits::lines::{self, Number, Openings, Turned};
-use crate::limits::{Bytes, Denied, Descriptors, Plan, Scarcity, Side, Tally};
+use crate::limits::{BufferBudget, Denied, Descriptors, Plan, ResourcePressure, Side, Tally};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -23,7 +23,7 @@
 pub struct Places {
     start: Instant,
     descriptors: RefCell<Descriptors>,
-    bytes: RefCell<Bytes>,
+    bytes: RefCell<BufferBudget>,
     openings: RefCell<Openings>,
     waiting: RefCell<BTreeMap<Number, oneshot::Sender<Opening>>>,
     recalls: [Recall; SIDES.len()],
@@ -45,7 +45,7 @@
         let floor = plan.floors[Side::Workers as usize];
         Rc::new(Places {
             start: Instant::now(),
-            bytes: RefCell::new(Bytes::new(bytes, plan.usable)),
+            bytes: RefCell::new(BufferBudget::new(bytes, plan.usable)),
             openings: RefCell::new(Openings::new(plan.usable * WAITS_EACH, (floor / OPENING).max(4))),
             descriptors: RefCell::new(Descriptors::new(plan)),
             waiting: RefCell::default(),
@@ -73,11 +73,11 @@
         self.bytes.borrow().used()
     }
     /// How scarce descriptors and bytes are for all sides together.
-    pub fn scarcity(&self) -> Scarcity {
+    pub fn pressure(&self) -> ResourcePressure {
         let descriptors = self.descriptors.borrow();
         let usable = descriptors.plan().usable;
         let bytes = self.bytes.borrow();
-        Scarcity::of(usable - descriptors.free(), usable * 3 / 4, usable).or(Scarcity::of(
+        ResourcePressure::of(usable - descriptors.free(), usable * 3 / 4, usable).or(ResourcePressure::of(
             bytes.used(),
             bytes.total() / 2,
             bytes.total(),
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -4,7 +4,9 @@
 use clayshore::limits::crowd::Record;
 use clayshore::limits::descriptors::SIDES;
 use clayshore::limits::lines::{self, Choice, Line, Number, Openings};
-use clayshore::limits::{Bytes, Crowd, Denied, Descriptors, Plan, Scarcity, Side, Source, Why};
+use clayshore::limits::{
+    BufferBudget, Crowd, Denied, Descriptors, Plan, ResourcePressure, Side, Source, Why,
+};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -82,7 +84,7 @@
         holders in 1usize..60,
         steps in prop::collection::vec((0usize..60, 0usize..200_000), 0..400),
     ) {
-        let mut bytes = Bytes::new(total, holders);
+        let mut bytes = BufferBudget::new(total, holders);
         let mut held = vec![0; holders];
         for (who, wanted) in steps {
             let who = who % holders;
@@ -128,7 +130,7 @@
                 (8, _) => if let Some((id, _)) = crowd.give_way(now) {
                     prop_assert!(!firm.contains(&id) && told.insert(id) && ids.contains(&id));
                 },
-                (9, _) => for (id, _) in crowd.sweep(now, Scarcity::FULL) {
+                (9, _) => for (id, _) in crowd.sweep(now, ResourcePressure::FULL) {
                     prop_assert!(!firm.contains(&id) && told.insert(id) && ids.contains(&id));
                 },
                 _ => {}
@@ -139,15 +141,15 @@
         // Whoever is not firm can be made to leave, and leaves by itself in time.
         let loose = ids.iter().filter(|id| !firm.contains(id) && !told.contains(id)).count();
         let later = now.after(ms(14_001));
-        prop_assert_eq!(crowd.sweep(later, Scarcity::NONE).len(), loose);
-        prop_assert_eq!(crowd.next_due(Scarcity::NONE), None);
+        prop_assert_eq!(crowd.sweep(later, ResourcePressure::NONE).len(), loose);
+        prop_assert_eq!(crowd.next_due(ResourcePressure::NONE), None);
         prop_assert_eq!(crowd.give_way(later), None);
     }
 
     #[test]
     fn time_limits_only_tighten_with_scarcity(held in 0usize..200, ease in 0usize..100, calm in 2u64..20_000) {
-        let scarcity = |held| Scarcity::of(held, ease, ease + 50);
-        let limit = |held| scarcity(held).limit(ms(calm), ms(calm / 2));
+        let pressure = |held| ResourcePressure::of(held, ease, ease + 50);
+        let limit = |held| pressure(held).limit(ms(calm), ms(calm / 2));
         prop_assert!(limit(held + 1) <= limit(held));
         prop_assert!(limit(held) <= ms(calm) && limit(held) >= ms(calm / 2) - Duration::from_micros(1));
     }
@@ -259,10 +261,10 @@
         crowd.heard(Time(turn * 30 * MS), dribbles, 1);
         crowd.heard(Time(turn * 30 * MS), uploads, 6_000);
     }
-    let late = crowd.sweep(Time(310 * MS), Scarcity::FULL);
+    let late = crowd.sweep(Time(310 * MS), ResourcePressure::FULL);
     assert_eq!(late, [(dribbles, Why::Slow)]);
     assert_eq!(
-        crowd.sweep(Time(2500 * MS), Scarcity::NONE),
+        crowd.sweep(Time(2500 * MS), ResourcePressure::NONE),
         [(uploads, Why::Slow)],
         "2.5 s is the end for all"
     );
@@ -276,14 +278,14 @@
     crowd.spoke_rubbish(Time(0), first);
     crowd.left(first);
     let back = crowd.enter(Time(MS), Source(2));
-    assert_eq!(crowd.sweep(Time(60 * MS), Scarcity::FULL), [(back, Why::Silent)]);
+    assert_eq!(crowd.sweep(Time(60 * MS), ResourcePressure::FULL), [(back, Why::Silent)]);
     assert!(crowd.is_loose(usual));
     // Where all share one address nobody can be told apart, and nobody is marked by it.
     crowd.left(usual);
     crowd.left(back);
     let (one, two) = (crowd.enter(Time(0), Source(2)), crowd.enter(Time(0), Source(2)));
     crowd.spoke_rubbish(Time(0), one);
-    assert!(crowd.sweep(Time(60 * MS), Scarcity::FULL).is_empty() && crowd.is_loose(two));
+    assert!(crowd.sweep(Time(60 * MS), ResourcePressure::FULL).is_empty() && crowd.is_loose(two));
 }
 
 #[test]
