--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -4,8 +4,11 @@
 mod common;
 
 use common::process::*;
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::sync::mpsc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Queries that a test asks, one after the other, on one connection.
 const QUERIES: usize = 20;
@@ -108,3 +111,45 @@
     std::fs::remove_file(&switch).expect("removed");
     gatherer.logged("configuration read again");
 }
+
+/// A worker that tells how many milliseconds the first part that comes was told to have.
+fn worker_that_tells_its_deadline() -> (String, mpsc::Receiver<u64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let (tell, told) = mpsc::channel();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut length = [0; 4];
+        stream.read_exact(&mut length).expect("a length");
+        let mut frame = vec![0; u32::from_le_bytes(length) as usize];
+        stream.read_exact(&mut frame).expect("a frame");
+        let text = String::from_utf8_lossy(&frame).into_owned();
+        let deadline = text.split(" d=").nth(1).and_then(|rest| rest.split(' ').next()).expect("a deadline");
+        tell.send(deadline.parse().expect("milliseconds")).expect("the test waits");
+    });
+    (address, told)
+}
+
+#[test]
+fn a_request_that_waited_behind_failing_accepts_tells_workers_of_less_time() {
+    let (folder, (worker, told)) = (Folder::new("queue"), worker_that_tells_its_deadline());
+    let discovery = Discovery::start(&member("w1", &worker));
+    let switch = folder.0.join("faults");
+    let gatherer =
+        Gatherer::begin_with_faults(&folder, &config(&discovery), "seed=6,accept=1", Some(&switch));
+    gatherer.logged(" serving on ");
+    std::fs::write(&switch, "").expect("written");
+    thread::sleep(Duration::from_millis(20));
+    let mut client = gatherer.connect();
+    let body = r#"{"ranges":[{"range":0,"portion":1.0,"price":9000}],"predicate":"c41e"}"#;
+    let head = "POST /api HTTP/1.1\r\nX-Call-Id: q1\r\nX-Call-Class: search\r\nX-Caller: bank\r\nX-Budget-Ms: 1500\r\n";
+    let sent = Instant::now();
+    client
+        .write_all(format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).as_bytes())
+        .expect("written");
+    thread::sleep(Duration::from_millis(600));
+    let left = Duration::from_millis(1500).saturating_sub(sent.elapsed());
+    std::fs::remove_file(&switch).expect("removed");
+    let told = Duration::from_millis(told.recv_timeout(Duration::from_secs(30)).expect("the part comes"));
+    assert!(told <= left + Duration::from_millis(150), "told {told:?} where {left:?} were left");
+}
