Count the wait behind failing accepts; read the operator's file again at a start

Cause of the deadline: a request's time was reckoned from when it was read, and accept had failed since 0.6 s before. Change: accept knows since when it has failed; until its queue is empty, who comes in may have waited that long, and so much is taken off the first request's time (Request::waited, both fronts). Ruled out: TCP_INFO would tell exactly, and has no safe interface in the libraries here. The soak's accepts and connects may fail always now, and its findings say when they were.

--- a/src/fronts/opensearch.rs
+++ b/src/fronts/opensearch.rs
@@ -305,7 +305,10 @@
             label: Arc::from(index),
             class,
             tenant,
-            left: search.timeout.map_or(contract.deadline, |timeout| timeout.min(contract.deadline)),
+            left: search
+                .timeout
+                .map_or(contract.deadline, |timeout| timeout.min(contract.deadline))
+                .saturating_sub(request.waited),
             retry: false,
             text: Bytes::from(text),
             parts: parts.collect(),
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,9 @@
 use clayshore::program::failure::Failure;
 use clayshore::program::opensearch_file::FrontFile;
 use clayshore::program::operator::Operator;
+use clayshore::program::run::START;
 use clayshore::program::{inspect, log, members, run};
+use clayshore::transport::failure::retry_blocking;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -138,7 +140,10 @@
 }
 
 fn serve(file: Option<String>, operator: Option<String>) -> Result<(), Failure> {
-    let operator = operator.map_or_else(|| Ok(Operator::default()), |path| Operator::read(&path))?;
+    let operator = operator.map_or_else(
+        || Ok(Operator::default()),
+        |path| retry_blocking(START, Error::may_pass, || Operator::read(&path)),
+    )?;
     if let Some(path) = file {
         let seed = fastrand::u64(..);
         let read = move || FrontFile::read(&path, seed);
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -52,7 +52,7 @@
 /// How often it is read again.
 const READ_AGAIN: Duration = Duration::from_millis(100);
 /// How long a call that a start needs may fail, in a way that may pass, before the start does.
-const START: Duration = Duration::from_secs(8);
+pub const START: Duration = Duration::from_secs(8);
 
 /// Makes a call that a start needs, again for a while where it fails in a way that may pass.
 async fn needed<T>(call: impl AsyncFnMut() -> io::Result<T>) -> io::Result<T> {
@@ -199,15 +199,8 @@
 
 /// The runtime; its own calls may fail for a moment too.
 fn runtime() -> io::Result<Runtime> {
-    let (since, mut pauses) = (std::time::Instant::now(), Pauses::default());
-    loop {
-        match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-            Err(error) if failure::may_pass(&error) && since.elapsed() < START => {
-                std::thread::sleep(pauses.next_pause());
-            }
-            done => return done,
-        }
-    }
+    let build = || tokio::runtime::Builder::new_current_thread().enable_all().build();
+    failure::retry_blocking(START, failure::may_pass, build)
 }
 
 fn in_runtime(main: impl Future<Output = Result<(), Failure>>) -> Result<(), Failure> {
--- a/src/protocol/http.rs
+++ b/src/protocol/http.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use std::fmt::Write;
+use std::time::Duration;
 
 /// Header lines and chunk lines of one message, in bytes.
 const MOST_HEAD: usize = 16 * 1024;
@@ -85,6 +86,8 @@
     pub body: Bytes,
     /// The connection stays open after the answer.
     pub keep_alive: bool,
+    /// How long it may have waited unread behind failing calls: so much less of its client's time is left.
+    pub waited: Duration,
 }
 
 impl Request {
@@ -210,7 +213,8 @@
         let keep_alive = parsed.version == Some(1) && !headers.lists("Connection", "close");
         let method = parsed.method.unwrap_or_default().to_owned();
         let (path, query) = (path.to_owned(), query.to_owned());
-        (length, Request { method, path, query, headers, body: Bytes::new(), keep_alive })
+        let (body, waited) = (Bytes::new(), Duration::ZERO);
+        (length, Request { method, path, query, headers, body, keep_alive, waited })
     })?;
     let Some((length, mut request)) = read else { return Ok(None) };
     let Some((body, end)) = body(&request.headers, &buffer[length..], MOST_BODY, Some(0))? else {
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -119,7 +119,7 @@
         label: Arc::from(id),
         class,
         tenant,
-        left: Duration::from_millis(left),
+        left: Duration::from_millis(left).saturating_sub(request.waited),
         retry: field("X-Again") == Some("1"),
         text: Bytes::from(body.predicate),
         parts,
--- a/src/soak/judge.rs
+++ b/src/soak/judge.rs
@@ -231,7 +231,7 @@
         let process = seen.processes.get(request.start);
         let was_killed = process.is_some_and(|process| process.killed.is_some());
         let stalled = process.map_or(0, |process| process.stalled);
-        let about = format!("request {} to process {}", request.id, request.start);
+        let about = about_request(request, process);
         match request.end {
             RequestEnd::Answered { status, honest } => {
                 let late = (request.ended - request.sent).saturating_sub(request.budget);
@@ -257,6 +257,16 @@
     }
 }
 
+/// The request, where it went, and when, measured against the end of that process.
+fn about_request(request: &Request, process: Option<&Process>) -> String {
+    let told = process.and_then(|process| process.told_to_end);
+    let when = told.map_or(String::new(), |told| {
+        let span = request.sent as i64 - told as i64;
+        format!(", sent at {span} us from SIGTERM")
+    });
+    format!("request {} to process {} at {}{when}", request.id, request.start, request.sent)
+}
+
 fn judge_parts(seen: &Observations, by_id: &HashMap<&str, &Request>, findings: &mut Vec<Finding>) {
     for part in &seen.parts {
         let Some(request) = by_id.get(part.request.as_str()) else { continue };
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -94,8 +94,8 @@
     add(&mut words, 0.6, &["short_write"], 0.02, 0.3);
     add(&mut words, 0.6, &["interrupt"], 0.004, 0.05);
     add(&mut words, 0.4, &["wait_interrupt"], 0.02, 0.1);
-    add(&mut words, 0.5, &["accept"], 0.02, 0.5);
-    add(&mut words, 0.5, &["connect", "socket", "bind"], 0.02, 0.5);
+    add(&mut words, 0.5, &["accept"], 0.02, 1.0);
+    add(&mut words, 0.5, &["connect", "socket", "bind"], 0.02, 1.0);
     add(&mut words, 0.3, &["open", "file_write"], 0.1, 0.9);
     add(&mut words, 0.4, &["wall_step_s"], 60.0, 3600.0);
     words.push("wall_period_ms=1500".to_owned());
--- a/src/transport/failure.rs
+++ b/src/transport/failure.rs
@@ -68,6 +68,23 @@
     }
 }
 
+/// The same before there is a runtime: the thread sleeps.
+pub fn retry_blocking<T, E>(
+    limit: Duration,
+    may_pass: impl Fn(&E) -> bool,
+    mut call: impl FnMut() -> Result<T, E>,
+) -> Result<T, E> {
+    let (since, mut pauses) = (std::time::Instant::now(), Pauses::default());
+    loop {
+        match call() {
+            Err(error) if may_pass(&error) && since.elapsed() < limit => {
+                std::thread::sleep(pauses.next_pause());
+            }
+            done => return done,
+        }
+    }
+}
+
 /// Makes a call again for as long as it fails in a way that may pass, but not for longer than `limit`.
 pub async fn retry<T>(
     limit: Duration,
--- a/src/transport/gate.rs
+++ b/src/transport/gate.rs
@@ -141,7 +141,8 @@
         self.places.tally.borrow_mut().admitted += 1;
         self.loosened.notify_one();
         let bytes = Buffered::new(&self.places);
-        let pass = Pass { gate: self.clone(), id, place, signal, bytes };
+        let waited = Cell::default();
+        let pass = Pass { gate: self.clone(), id, place, signal, bytes, waited };
         // The next one who comes is to find a place free. It is made only now, so that it costs nobody theirs before
         // it is needed, and so that the newcomer is judged beside the others.
         let (free, door) = self.places.descriptors(|all| (all.free(), all.plan().door));
@@ -223,6 +224,8 @@
     signal: Rc<Signal>,
     /// What is buffered for it.
     pub bytes: Buffered,
+    /// How long it may have waited to be let in.
+    waited: Cell<Duration>,
 }
 
 impl Pass {
@@ -234,6 +237,15 @@
         change(&mut self.gate.crowd.borrow_mut())
     }
 
+    /// It may have waited for so long to be let in.
+    pub fn has_waited(&self, waited: Duration) {
+        self.waited.set(waited);
+    }
+    /// How long its next request may have waited unread: only the first of a connection does.
+    pub fn waited(&self) -> Duration {
+        self.waited.take()
+    }
+
     /// Waits until it is told to leave.
     pub async fn told_to_leave(&self) -> Why {
         loop {
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -91,6 +91,8 @@
 /// place that nobody is about to leave, and takes its share of the time and no more while many come at once.
 pub async fn accept<F: Front + 'static>(listener: impl Accept, front: Rc<F>, gate: Rc<Gate>) {
     let (mut pacer, mut pauses) = (AcceptPacer::default(), Pauses::default());
+    // Since when accepts have failed; whoever comes in then has waited for so long at most, until the queue is empty.
+    let mut failing_since = None;
     loop {
         // What waits in the queue then is the successor's.
         if matches!(gate.stage(), Stage::Succeeded { .. }) {
@@ -106,6 +108,7 @@
             Some(accepted) => accepted,
             None => {
                 pacer.idle();
+                failing_since = None;
                 let accepted = tokio::select! {
                     biased;
                     accepted = listener.accept() => accepted,
@@ -126,12 +129,16 @@
         match accepted {
             Ok((stream, from)) => match gate.admit(source(from, None), DOOR).await {
                 Some(pass) => {
+                    pass.has_waited(
+                        failing_since.map_or(Duration::ZERO, |since| gate.places().now().since(since)),
+                    );
                     let front = front.clone();
                     tokio::task::spawn_local(async move { serve(stream, from, &*front, pass).await });
                 }
                 None => turn_away(stream, &front.crowded(None), &gate).await,
             },
             Err(error) => {
+                failing_since.get_or_insert(begun);
                 after_failure(&gate, &error, &mut pauses).await;
                 continue;
             }
@@ -185,7 +192,7 @@
     let (mut buffer, mut answers) = (BytesMut::new(), 0_u64);
     loop {
         let request = match next(&mut read, &mut write, &mut buffer, front, &pass, answers).await {
-            Next::Request(request) => request,
+            Next::Request(request) => Request { waited: pass.waited(), ..request },
             Next::Last(bytes) => {
                 last(&mut read, &mut write, &bytes, pass.gate()).await;
                 return;
