--- a/tests/listener.rs
+++ b/tests/listener.rs
@@ -454,3 +454,19 @@
         assert!(took < Duration::from_millis(400), "40 failures took {took:?}");
     });
 }
+
+#[test]
+fn a_newcomer_that_is_made_to_leave_has_an_answer_for_the_request_that_crosses_it() {
+    // Its first request may be on its way: read behind a close without an answer, it would be lost.
+    run(async {
+        let house = House::open(64, 0).await;
+        let mut client = house.client().await;
+        let mut said = Vec::new();
+        // It says nothing until it is made to leave, and asks just then.
+        assert!(client.read_buf(&mut said).await.expect("readable") > 0, "closed without a word");
+        say(&mut client, "/a").await;
+        client.read_to_end(&mut said).await.expect("no reset");
+        let said = String::from_utf8(said).expect("text");
+        assert!(said.starts_with("HTTP/1.1 503 ") && said.contains("Connection: close\r\n"), "{said:?}");
+    });
+}
