A newcomer that is made to leave is refused before its connection ends

Cause: listener.rs next and leave closed a connection that had not asked yet like one that rests between requests; what crossed the close was read and dropped, which the platform bears on kept connections alone. It shows where accepts fail or places are scarce, since silent newcomers leave first. Change: part() answers 503 first where nothing has been answered on the connection, for a crossing request to find; kept connections end as before.

--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -302,43 +302,59 @@
                     let why = if why == Why::Slow { "the request did not end in time" } else { "no room" };
                     return Next::Last(Response::text(408, why).encode(true));
                 }
-                buffer.reserve(READ);
-                if !leave(read, write, buffer, pass).await {
-                    return Next::End;
+                if let Some(end) = part(read, write, buffer, front, pass, answers).await {
+                    return end;
                 }
             }
             // Guards a newcomer who reaches a drained process: it still gets the answer to its first request.
             () = parting(pass, answers),
                 if buffer.is_empty() && (answers > 0 || !pass.gate().stage().takes()) =>
             {
-                buffer.reserve(READ);
-                if !leave(read, write, buffer, pass).await {
-                    return Next::End;
+                if let Some(end) = part(read, write, buffer, front, pass, answers).await {
+                    return end;
                 }
             }
         }
     }
 }
 
-/// Closes a connection on which nothing is open, unless a request has come meanwhile. True if it stays. The close lingers:
-/// what crosses it is read and dropped, and its client sees the end of the connection in place of an answer. Guards the
-/// answer before, which a reset would take with it.
-async fn leave(
+/// Ends a connection on which nothing is open, unless a request has come meanwhile. Guards the first request of a
+/// newcomer that crosses this: a refusal is said before, for it to find.
+async fn part<F: Front>(
     read: &mut (impl AsyncRead + Unpin),
     write: &mut (impl AsyncWrite + Unpin),
     buffer: &mut BytesMut,
+    front: &F,
     pass: &Pass,
-) -> bool {
+    answers: u64,
+) -> Option<Next> {
+    buffer.reserve(READ);
+    if has_come(read, buffer, pass).await {
+        return None;
+    }
+    if answers == 0 {
+        return Some(Next::Last(front.crowded(None).encode(true)));
+    }
+    leave(read, write, pass).await;
+    Some(Next::End)
+}
+
+/// Whether a request has come by now.
+async fn has_come(read: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut, pass: &Pass) -> bool {
     // Behind it the runtime has looked at its sockets, and knows of what has come by now.
     tokio::task::yield_now().await;
-    if let Some(Ok(count @ 1..)) = at_once(read.read_buf(buffer)).await {
-        pass.spared(count);
-        return true;
-    }
+    let Some(Ok(count @ 1..)) = at_once(read.read_buf(buffer)).await else { return false };
+    pass.spared(count);
+    true
+}
+
+/// Closes a connection that had its answers. The close lingers:
+/// what crosses it is read and dropped, and its client sees the end of the connection in place of an answer. Guards the
+/// answer before, which a reset would take with it.
+async fn leave(read: &mut (impl AsyncRead + Unpin), write: &mut (impl AsyncWrite + Unpin), pass: &Pass) {
     if write.shutdown().await.is_ok() && drain(read, last_time(pass.gate())).await {
         pass.crossed();
     }
-    false
 }
 
 /// What a future has to say without waiting.
