--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -20,15 +20,16 @@
 }
 
 const WORKERS: usize = 6;
-/// Work of a part of audit-report: 220 to 290 ms by the brief.
-const WORK_MS: u64 = 220;
+/// Work of a part of audit-report: 220 to 290 ms in the mean by the brief, where "its parts differ in work". One of the
+/// four parts of each report is a heavy one.
+const WORK_MS: [u64; 4] = [220, 220, 220, 800];
 /// The class's give-up time.
 const BUDGET_MS: u64 = 6000;
 /// The class's window: a worker discards a repeat for this long after the first attempt.
-const WINDOW: Duration = Duration::from_millis(500);
+const WINDOW: Duration = Duration::from_millis(400);
 /// Time limits are 50 ms longer on sockets.
-const LIMIT: Duration = Duration::from_millis(500 + 50);
-const ROUNDS: usize = 4;
+const LIMIT: Duration = Duration::from_millis(400 + 50);
+const ROUNDS: usize = 5;
 
 /// When the first attempt of each part has arrived, at any worker that holds its shard.
 type FirstRuns = Arc<Mutex<HashMap<String, Instant>>>;
@@ -37,15 +38,16 @@
 /// the system answers the next attempt of a connection, which comes after 1 s.
 struct Worker {
     address: String,
+    socket: i32,
     held_up: Arc<AtomicBool>,
 }
 
 impl Worker {
     fn start(name: String, first_runs: FirstRuns, twice: Arc<Mutex<usize>>, record: Record) -> Worker {
         let listener = common::listen();
-        assert_eq!(unsafe { listen(listener.as_raw_fd(), 0) }, 0);
         listener.set_nonblocking(true).unwrap();
         let (address, held_up) = (listener.local_addr().unwrap().to_string(), Arc::new(AtomicBool::new(false)));
+        let socket = listener.as_raw_fd();
         let is_held_up = held_up.clone();
         thread::spawn(move || loop {
             let accepted = if is_held_up.load(Ordering::SeqCst) { None } else { listener.accept().ok() };
@@ -58,17 +60,19 @@
                 (name.clone(), first_runs.clone(), twice.clone(), record.clone());
             thread::spawn(move || serve(read, &name, &first_runs, &twice, &record));
         });
-        Worker { address, held_up }
+        Worker { address, socket, held_up }
     }
 
     /// Lets the next connections wait, by filling the queue with one of the worker's own.
     fn hold_up(&self) -> TcpStream {
         self.held_up.store(true, Ordering::SeqCst);
         thread::sleep(Duration::from_millis(5));
+        assert_eq!(unsafe { listen(self.socket, 0) }, 0);
         TcpStream::connect(&self.address).unwrap()
     }
 
     fn go_on(&self) {
+        assert_eq!(unsafe { listen(self.socket, 128) }, 0);
         self.held_up.store(false, Ordering::SeqCst);
     }
 }
@@ -104,9 +108,9 @@
                 ),
             };
             record.line(format!("{name}: got {} (d={}), {what}", part.id, part.wait_ms));
-            let write = write.clone();
+            let (write, work_ms) = (write.clone(), WORK_MS[part.shard as usize]);
             thread::spawn(move || {
-                thread::sleep(Duration::from_millis(WORK_MS));
+                thread::sleep(Duration::from_millis(work_ms));
                 write_good(&write, &part.id, "5be2a07c19f04d63");
             });
         }
@@ -121,7 +125,7 @@
  "settings":{{"allowed":{{"cancel":true,"second-copies":true,"most-tries":4,"retry-after":true,
    "max-retry-after":500000000,"max-open":61,"connect-timeout":1500000000,"conn-idle":15000000000,"multiplex":32}},
   "categories":[
-   {{"name":"audit-report","promise":3000000000,"deadline":6000000000,"semantics":"by_key","group":"all","window":500000000,"worth":3.0,"late-worth":0.0}}],
+   {{"name":"audit-report","promise":3000000000,"deadline":6000000000,"semantics":"by_key","group":"all","window":400000000,"worth":3.0,"late-worth":0.0}}],
   "tenants":[{{"name":"kartuli-bank","portion":0.49,"quota-per-s":14.0}}],
   "balancers":1,"quantum":5000000,"localities":["didube"],"az":0,"discovery":"pushed",
   "domain":{{"cells":6,"span":4,"slices":6,"per-call":1,"min-share":[1.0],"whole-at":[1.0]}},
@@ -133,7 +137,7 @@
 /// A query `POST /api` for four parts, the least that audit-report needs.
 fn report(id: &str, key: &str) -> String {
     let ranges: Vec<String> = (0..4)
-        .map(|shard| format!(r#"{{"range":{shard},"portion":0.25,"price":{}}}"#, WORK_MS * 1000))
+        .map(|shard| format!(r#"{{"range":{shard},"portion":0.25,"price":{}}}"#, WORK_MS[shard] * 1000))
         .collect();
     let body = format!(r#"{{"ranges":[{}],"predicate":"{key}"}}"#, ranges.join(","));
     format!(
@@ -184,8 +188,6 @@
         wait_until_healthy(&address);
         // Queries whose connections come up at once: of all connections, fewer than a tenth come up late.
         (0..12).for_each(|_| ask(&address, false));
-        // The trouble begins after a quiet time.
-        thread::sleep(Duration::from_millis(8200));
         ask(&address, trouble());
         gatherer.signal("-TERM");
         gatherer.child.wait().unwrap();
