Check the repeat window again when an attempt is written

Cause: the invariant repeated_in_window was checked when the core sends an attempt, not when a transport writes it, so neither a counter nor the log could tell which attempt of a part came too late: the retry or the first one.

Change: transports report each attempt with the time at which its last byte was written; the core counts a keyed attempt that is written later than the window after the part's first one, and logs its number, worker and distance. Sending itself is not changed.

Tests workers, index_servers, invariants pass.

--- a/src/routing/broker.rs
+++ b/src/routing/broker.rs
@@ -115,6 +115,11 @@
         self.0.wake_up.notify_one();
     }
 
+    /// Reports to the core that the last bytes of these attempts were written at `written_at`.
+    pub fn on_attempts_written(&self, written_at: Time, attempts: &[AttemptId]) {
+        self.0.core.borrow_mut().on_attempts_written(written_at, attempts);
+    }
+
     /// Applies an endpoint list or a change of it.
     pub fn apply_endpoint_update(&self, update: &WorkerListUpdate, origin: ListOrigin) {
         self.0.core.borrow_mut().apply_endpoint_update(self.0.clock.now(), update, origin);
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -1,7 +1,8 @@
 //! The broker's state machine, without I/O or a clock: events go in, commands come out, and the time is an argument.
 //!
 //! [`Core`] owns the open queries, the attempts in flight, the worker list, the counters, and the decision module. This
-//! file handles queries and reports of attempts, `core/workers.rs` events about workers and other gatherers.
+//! file handles queries and reports of attempts, `core/writes.rs` the writing of attempts, `core/workers.rs` events
+//! about workers and other gatherers.
 //! `core/step.rs` passes them to the decision module as events; `core/dispatch.rs` and `core/completion.rs` apply its
 //! actions.
 
@@ -9,6 +10,7 @@
 mod dispatch;
 mod step;
 mod workers;
+mod writes;
 
 use super::attempt::{AttemptCompletion, AttemptId};
 use super::command::Command;
@@ -212,11 +214,6 @@
         self.class_counts.record_end(class.0, QueryEnd::RejectedAtCapacity);
     }
 
-    /// Adds to the count of attempts whose last byte has been written.
-    pub fn count_written(&mut self, attempts: usize) {
-        self.counters.written += attempts as u64;
-    }
-
     /// Records the result of an attempt. Ignored if the attempt has already timed out or been cancelled.
     pub fn on_attempt_finished(&mut self, now: Time, attempt_id: AttemptId, completion: AttemptCompletion) {
         let Some(sent) = self.in_flight.remove(attempt_id) else { return };
--- a/src/routing/core/dispatch.rs
+++ b/src/routing/core/dispatch.rs
@@ -7,6 +7,7 @@
 use crate::routing::command::Command;
 use crate::routing::in_flight::SentAttempt;
 use crate::routing::invariants::{Invariant, SendCheck, SendPermit};
+use crate::routing::open_queries::PossibleRun;
 use std::time::Duration;
 
 /// Attempts that one step sends to one worker.
@@ -60,7 +61,7 @@
         part.attempts += 1;
         self.counters.sent += 1;
         self.counters.resent += u64::from(attempt_id.attempt.0 > 0);
-        part.possible_runs.insert(attempt_id.attempt, now);
+        part.possible_runs.insert(attempt_id.attempt, PossibleRun { worker, sent_at: now, written_at: None });
         let (label, shard) = (query.label.clone(), part.shard);
         let permit = match permit {
             Ok(permit) => permit,
@@ -99,7 +100,7 @@
             valid_until: query.valid_until,
             worker_accepts_work,
             previous_attempts: part.attempts,
-            first_possible_run: part.possible_runs.values().min().copied(),
+            first_possible_run: part.first_sent_at(),
             has_attempt_in_flight,
             may_hedge: settings.hedging_allowed,
             max_attempts: settings.max_attempts,
--- a/src/routing/open_queries.rs
+++ b/src/routing/open_queries.rs
@@ -1,7 +1,7 @@
 //! Open queries: those that wait for their outcome, with their parts and the values received so far. Attempts in flight
 //! are in [`super::in_flight`].
 
-use crate::policy::{AttemptNo, AttemptOutcome, RequestId, ShardId, Time};
+use crate::policy::{AttemptNo, AttemptOutcome, RequestId, ShardId, Time, WorkerId};
 use crate::records::metrics::QueryLabels;
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap};
@@ -26,6 +26,17 @@
     pub accepted_at: Time,
 }
 
+/// An attempt that has run or may still run.
+#[derive(Clone, Copy)]
+pub(super) struct PossibleRun {
+    /// Worker that the attempt was sent to.
+    pub worker: WorkerId,
+    /// Time at which the attempt was handed to the transport.
+    pub sent_at: Time,
+    /// Time at which the transport wrote the attempt; `None` while it waits to be written.
+    pub written_at: Option<Time>,
+}
+
 /// One part of an open query.
 pub(super) struct OpenPart {
     /// Id of the part's query.
@@ -36,8 +47,8 @@
     pub weight: f64,
     /// Number of attempts so far.
     pub attempts: u32,
-    /// Send times of the attempts that have run or may still run.
-    pub possible_runs: BTreeMap<AttemptNo, Time>,
+    /// Attempts that have run or may still run.
+    pub possible_runs: BTreeMap<AttemptNo, PossibleRun>,
     /// Outcome of the attempt that finished last.
     pub last_outcome: Option<AttemptOutcome>,
     /// Value of the first attempt that succeeded.
@@ -57,6 +68,16 @@
             value: None,
         }
     }
+
+    /// Returns when the first of the attempts that may run was handed to the transport.
+    pub fn first_sent_at(&self) -> Option<Time> {
+        self.possible_runs.values().map(|run| run.sent_at).min()
+    }
+
+    /// Returns when the first of the attempts that may run was written.
+    pub fn first_written_at(&self) -> Option<Time> {
+        self.possible_runs.values().filter_map(|run| run.written_at).min()
+    }
 }
 
 /// All open queries and their parts.
--- a/src/transport/index_servers.rs
+++ b/src/transport/index_servers.rs
@@ -138,9 +138,10 @@
         let reservation = BufferReservation::new(&self.0.descriptor_pool);
         reservation.set(request.len());
         let stream = &mut *connection.stream;
+        let written_at = self.0.broker.now();
         let exchanged = http_client::exchange(stream, &mut buffer, &request, MAX_RESULT_BYTES).await;
         if !matches!(exchanged, Err(ExchangeError::NotSent(_))) {
-            self.0.broker.with_core(|core| core.count_written(1));
+            self.0.broker.on_attempts_written(written_at, &[part.attempt_id]);
         }
         match exchanged {
             Ok(response) => {
--- a/src/transport/workers/connection.rs
+++ b/src/transport/workers/connection.rs
@@ -45,13 +45,20 @@
 /// A frame that is to be written.
 struct Frame {
     content: Content,
-    /// The ids of the parts that the frame carries; empty for a frame that cancels a part.
-    part_ids: Vec<String>,
+    /// The parts that the frame carries; empty for a frame that cancels a part.
+    parts: Vec<FramePart>,
     /// The time after which the frame may not be written: the end of its write window, or [`PARTIAL_WRITE_LIMIT`] after
     /// its first byte, whichever is earlier.
     write_deadline: Option<Instant>,
 }
 
+/// A part that a frame carries.
+struct FramePart {
+    /// The part's id on the wire.
+    id: String,
+    attempt_id: AttemptId,
+}
+
 /// The content of a frame.
 enum Content {
     /// A call of which no byte is written. It is encoded at the time of the write, since it states the time left.
@@ -64,7 +71,7 @@
 
 impl Frame {
     fn cancel(id: &str) -> Frame {
-        Frame { content: Content::Cancel(id.to_owned()), part_ids: Vec::new(), write_deadline: None }
+        Frame { content: Content::Cancel(id.to_owned()), parts: Vec::new(), write_deadline: None }
     }
 
     /// Encodes the bytes that remain to be written, with the time left as of `now`.
@@ -92,12 +99,12 @@
     }
 
     fn carries(&self, id: &str) -> bool {
-        self.part_ids.iter().any(|part_id| part_id == id)
+        self.parts.iter().any(|part| part.id == id)
     }
 
     /// Whether any part of the frame is still in flight.
     fn is_needed(&self, parts: &HashMap<String, PartInFlight>) -> bool {
-        self.part_ids.iter().any(|id| parts.contains_key(id))
+        self.parts.iter().any(|part| parts.contains_key(&part.id))
     }
 }
 
@@ -198,19 +205,19 @@
     /// Queues these parts as one call frame.
     pub fn send(&self, parts: Vec<Dispatch>) {
         let mut in_flight = self.parts.borrow_mut();
-        let mut part_ids = Vec::with_capacity(parts.len());
+        let mut frame_parts = Vec::with_capacity(parts.len());
         let window = parts.iter().filter_map(Dispatch::write_window).min();
         for part in &parts {
             let id = frame::part_id(&part.label, part.shard.0);
             let entry =
                 PartInFlight { attempt_id: part.attempt_id, written_at: None, cancelled_if_unsent: false };
             in_flight.insert(id.clone(), entry);
-            part_ids.push(id);
+            frame_parts.push(FramePart { id, attempt_id: part.attempt_id });
         }
         drop(in_flight);
         let write_deadline = window.map(|window| Instant::now() + window);
         let content = Content::Call(parts);
-        self.frames.borrow_mut().push_back(Frame { content, part_ids, write_deadline });
+        self.frames.borrow_mut().push_back(Frame { content, parts: frame_parts, write_deadline });
         self.update_descriptor();
         self.wake.notify_one();
     }
@@ -230,23 +237,23 @@
         self.frames.borrow().front().and_then(|frame| frame.write_deadline)
     }
 
-    /// Records that all of the next frame but `remainder` was written. Returns the number of parts whose frame is
-    /// complete with that.
-    pub fn mark_written(&self, remainder: Bytes) -> usize {
+    /// Records that all of the next frame but `remainder` was written. Returns the attempts whose frame is complete with
+    /// that.
+    pub fn mark_written(&self, remainder: Bytes) -> Vec<AttemptId> {
         let mut frames = self.frames.borrow_mut();
-        let Some(frame) = frames.front_mut() else { return 0 };
+        let Some(frame) = frames.front_mut() else { return Vec::new() };
         if !remainder.is_empty() {
             frame.set_remainder(remainder);
-            return 0;
+            return Vec::new();
         }
-        let Some(frame) = frames.pop_front() else { return 0 };
+        let Some(frame) = frames.pop_front() else { return Vec::new() };
         let mut parts = self.parts.borrow_mut();
-        for id in &frame.part_ids {
+        for FramePart { id, .. } in &frame.parts {
             if let Some(part) = parts.get_mut(id) {
                 part.written_at = Some(Instant::now());
             }
         }
-        frame.part_ids.len()
+        frame.parts.into_iter().map(|part| part.attempt_id).collect()
     }
 
     // ---- Finished and cancelled parts ----
@@ -331,13 +338,13 @@
         let mut parts = self.parts.borrow_mut();
         let mut attempts = Vec::new();
         self.frames.borrow_mut().retain(|frame| {
-            let must_stay = |id: &String| parts.get(id).is_some_and(|part| !may_take(part));
-            if frame.is_partly_written() || frame.part_ids.is_empty() || frame.part_ids.iter().any(must_stay)
-            {
+            let must_stay = |part: &FramePart| parts.get(&part.id).is_some_and(|part| !may_take(part));
+            if frame.is_partly_written() || frame.parts.is_empty() || frame.parts.iter().any(must_stay) {
                 return true;
             }
-            attempts
-                .extend(frame.part_ids.iter().filter_map(|id| parts.remove(id)).map(|part| part.attempt_id));
+            attempts.extend(
+                frame.parts.iter().filter_map(|part| parts.remove(&part.id)).map(|part| part.attempt_id),
+            );
             false
         });
         attempts
--- a/src/transport/workers/session.rs
+++ b/src/transport/workers/session.rs
@@ -5,7 +5,7 @@
 //! pool.
 
 use super::connection::{Connection, PartInFlight};
-use crate::policy::{AttemptOutcome, ReportField, WorkerId};
+use crate::policy::{AttemptOutcome, ReportField, Time, WorkerId};
 use crate::protocol::frame::{self, WorkerMessage};
 use crate::routing::{AttemptCompletion, Broker, BrokerLimits};
 use crate::transport::connector::{Connector, Stream, connect_with_timeout};
@@ -129,21 +129,30 @@
     Ok(Some(stream))
 }
 
-/// Writes as much of the next frame as the socket accepts; returns the bytes that remain. Until the first byte is
+/// A write of bytes of the next frame.
+struct WriteProgress {
+    /// The bytes that remain to be written.
+    remainder: Bytes,
+    /// When the write began.
+    at: Time,
+}
+
+/// Writes as much of the next frame as the socket accepts. Until the first byte is
 /// accepted, each try encodes the frame again, since the time left that it states goes down while the socket is full.
 async fn write_next(
     write: &mut WriteHalf<Box<dyn Stream>>,
     connection: &Connection,
     broker: &Broker,
-) -> io::Result<Bytes> {
+) -> io::Result<WriteProgress> {
     std::future::poll_fn(|cx| {
-        let mut frame = connection.next_frame(broker.now());
+        let at = broker.now();
+        let mut frame = connection.next_frame(at);
         let count = ready!(Pin::new(&mut *write).poll_write(cx, &frame))?;
         if count == 0 {
             return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
         }
         frame.advance(count);
-        Poll::Ready(Ok(frame))
+        Poll::Ready(Ok(WriteProgress { remainder: frame, at }))
     })
     .await
 }
@@ -151,8 +160,8 @@
 /// An event that a session handles.
 enum SessionEvent {
     Read(io::Result<usize>),
-    /// The bytes of the frame that remain to be written.
-    Written(io::Result<Bytes>),
+    /// A part of the next frame was written, or all of it.
+    Written(io::Result<WriteProgress>),
     /// The state of the connection was changed.
     Wake,
     /// The next frame was not written before its deadline.
@@ -254,9 +263,9 @@
         match event {
             SessionEvent::Read(Ok(0)) => Err(Disconnect::closed("closed by the worker")),
             SessionEvent::Read(Ok(_)) => self.on_read(),
-            SessionEvent::Written(Ok(remainder)) => {
-                let parts = self.connection.mark_written(remainder);
-                self.shared.broker.with_core(|core| core.count_written(parts));
+            SessionEvent::Written(Ok(progress)) => {
+                let written = self.connection.mark_written(progress.remainder);
+                self.shared.broker.on_attempts_written(progress.at, &written);
                 Ok(())
             }
             SessionEvent::Read(Err(error)) | SessionEvent::Written(Err(error)) => {
