Check the repeat window of a keyed part when each of its attempts is written

Callers saw: the effect of a part that may be repeated within 0.4 s was applied again 0.65 s after its first run.

Cause: whether an attempt may be sent was decided when the core sent it. A first attempt has no earlier run, so it got no limit; it waited for its connection (up to connect-timeout), was overtaken by a retry that ran at another worker, and was written all the same once its connection was up. The transport's write window held for retries only.

Change: the core permits each attempt again directly before its first byte (Core::begin_write, invariants::WriteCheck). The first write of an attempt that may run starts the window of its part; every attempt, the first included, has to be written before it ends. An attempt that nothing overtook waits without a limit, as before. One that waits past the window is taken back at once and counted (unsent_past_window), so that the decision module does not wait for it. The permit replaces SendPermit::write_window; index servers, which had no check at all, ask for it too.

Related paths of the same cause, a decision at sending that no longer holds at writing: a part is taken out of a call that it shares with others (before, a call was taken back as a whole or not at all, so that a departed client's part was sent with it, and one refused part would have held back the others); a search that waits for its connection is not written to an index server that was removed meanwhile.

tests/invariants.rs: the assertion on write_window is replaced by a test of WriteCheck, which holds the same bound for retries and holds it for first attempts too.

--- a/src/routing/attempt.rs
+++ b/src/routing/attempt.rs
@@ -41,13 +41,6 @@
     pub fn time_left(&self, now: Time) -> Duration {
         self.permit.deadline().since(now)
     }
-
-    /// Returns the time after the permit was issued by which the last byte of the frame has to be written, or `None` if
-    /// there is no limit. A retry of a keyed part has one, because workers deduplicate by key only within the class's
-    /// repeat window after the first possible run.
-    pub fn write_window(&self) -> Option<Duration> {
-        self.permit.write_window()
-    }
 }
 
 /// Result of an attempt, as its transport reports it.
--- a/src/routing/broker.rs
+++ b/src/routing/broker.rs
@@ -7,7 +7,7 @@
 use super::attempt::{AttemptCompletion, AttemptId, Dispatch};
 use super::clock::Clock;
 use super::command::Command;
-use super::core::Core;
+use super::core::{Core, WriteRefused};
 use super::invariants::Invariant;
 use super::query::{QueryOutcome, SearchRequest};
 use super::worker_registry::{ListOrigin, WorkerListUpdate};
@@ -17,6 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
 
 /// Longest time between two steps of the core, even if nothing is due.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3600);
@@ -31,9 +32,9 @@
     fn call(&self, worker: WorkerId, parts: Vec<Dispatch>);
     /// Cancels an attempt whose result is no longer needed. The core has already recorded its completion.
     fn cancel(&self, worker: WorkerId, attempt_id: AttemptId);
-    /// Drops an attempt whose result is no longer needed, if none of its bytes are written yet. An attempt that is
-    /// partly or wholly written may not be cancelled. Never called if the settings allow cancellation.
-    fn cancel_if_unsent(&self, _worker: WorkerId, _attempt_id: AttemptId) {}
+    /// Drops an attempt if none of its bytes are written yet, and reports it as not sent. An attempt that is partly or
+    /// wholly written is left alone.
+    fn cancel_if_unsent(&self, worker: WorkerId, attempt_id: AttemptId);
 }
 
 struct Inner {
@@ -115,6 +116,21 @@
         self.0.wake_up.notify_one();
     }
 
+    /// Asks the core whether an attempt may be written now; see [`Core::begin_write`]. Returns the instant by which its
+    /// last byte has to be written, if there is one.
+    ///
+    /// # Errors
+    /// The attempt may not be written. The transport drops it and reports it as not sent.
+    pub fn begin_write(&self, attempt_id: AttemptId) -> Result<Option<Instant>, WriteRefused> {
+        let permit = self.0.core.borrow_mut().begin_write(self.0.clock.now(), attempt_id)?;
+        let deadline = permit.deadline().map(|at| self.0.clock.instant_of(at));
+        if deadline.is_some() {
+            // The deadline may be the earliest thing that is due.
+            self.0.wake_up.notify_one();
+        }
+        Ok(deadline)
+    }
+
     /// Reports to the core that the last bytes of these attempts were written at `written_at`.
     pub fn on_attempts_written(&self, written_at: Time, attempts: &[AttemptId]) {
         self.0.core.borrow_mut().on_attempts_written(written_at, attempts);
--- a/src/routing/command.rs
+++ b/src/routing/command.rs
@@ -37,8 +37,8 @@
         /// Id of the attempt.
         attempt_id: AttemptId,
     },
-    /// Drop an attempt whose query has ended, if none of its bytes are written yet; an attempt that is written may not
-    /// be cancelled. The transport reports its completion as for any other attempt.
+    /// Drop an attempt whose query or repeat window has ended, if none of its bytes are written yet; an attempt that is
+    /// written is left alone. The transport reports its completion as for any other attempt.
     CancelIfUnsent {
         /// Worker that the attempt is for.
         worker: WorkerId,
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -12,6 +12,8 @@
 mod workers;
 mod writes;
 
+pub use writes::WriteRefused;
+
 use super::attempt::{AttemptCompletion, AttemptId};
 use super::command::Command;
 use super::contracts::Contracts;
@@ -217,6 +219,10 @@
     /// Records the result of an attempt. Ignored if the attempt has already timed out or been cancelled.
     pub fn on_attempt_finished(&mut self, now: Time, attempt_id: AttemptId, completion: AttemptCompletion) {
         let Some(sent) = self.in_flight.remove(attempt_id) else { return };
+        let missed_window = sent.write_deadline.is_some_and(|deadline| deadline <= now);
+        if completion.outcome == AttemptOutcome::NotSent && missed_window {
+            self.counters.unsent_past_window += 1;
+        }
         self.finish_attempt(now, attempt_id, &sent, completion);
     }
 
--- a/src/routing/core/dispatch.rs
+++ b/src/routing/core/dispatch.rs
@@ -61,7 +61,8 @@
         part.attempts += 1;
         self.counters.sent += 1;
         self.counters.resent += u64::from(attempt_id.attempt.0 > 0);
-        part.possible_runs.insert(attempt_id.attempt, PossibleRun { worker, sent_at: now, written_at: None });
+        let run = PossibleRun { worker, sent_at: now, write_began_at: None };
+        part.possible_runs.insert(attempt_id.attempt, run);
         let (label, shard) = (query.label.clone(), part.shard);
         let permit = match permit {
             Ok(permit) => permit,
@@ -77,7 +78,8 @@
         };
         let (payload, at_most_once) = (query.payload.clone(), query.at_most_once);
         self.count_retry(attempt_id);
-        self.in_flight.insert(attempt_id, SentAttempt { worker, sent_at: now, deadline: permit.deadline() });
+        self.in_flight.insert(attempt_id, SentAttempt::new(worker, now, permit.deadline()));
+        self.limit_writes(id);
         calls.add(worker, Dispatch { attempt_id, label, shard, payload, at_most_once, permit });
     }
 
@@ -120,7 +122,7 @@
         let name = self.workers.registry.name(worker).unwrap_or("<unknown>");
         let subject = format!("attempt {} of part {part_name} to worker {name}", attempt_id.attempt.0);
         self.report_violation(violated, &subject);
-        let sent = SentAttempt { worker, sent_at: now, deadline: now };
+        let sent = SentAttempt::new(worker, now, now);
         let not_sent = AttemptCompletion::without_value(AttemptOutcome::NotSent);
         self.finish_attempt(now, attempt_id, &sent, not_sent);
     }
--- a/src/routing/core/step.rs
+++ b/src/routing/core/step.rs
@@ -16,7 +16,7 @@
             return Some(now);
         }
         let timer = self.timers.keys().next().map(|(at, _)| *at);
-        let attempt = self.in_flight.next_deadline();
+        let attempt = self.in_flight.next_due();
         let query = self.open_queries.next_overdue(self.overdue_grace());
         [timer, attempt, query].into_iter().flatten().min()
     }
@@ -30,6 +30,7 @@
     pub fn step(&mut self, now: Time) -> Vec<Command> {
         self.fire_timers(now);
         self.time_out_attempts(now);
+        self.withdraw_overdue_writes(now);
         let mut actions = Vec::new();
         if !self.pending_events.is_empty() {
             self.policy.step(now, self.pending_events.drain(..), &mut actions);
--- a/src/routing/invariants.rs
+++ b/src/routing/invariants.rs
@@ -145,7 +145,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SendPermit {
     deadline: Time,
-    write_window: Option<Duration>,
 }
 
 impl SendPermit {
@@ -154,13 +153,6 @@
     pub fn deadline(&self) -> Time {
         self.deadline
     }
-
-    /// Returns the time after the permit was issued by which the last byte of the frame has to be written, or `None` if
-    /// there is no limit.
-    #[must_use]
-    pub fn write_window(&self) -> Option<Duration> {
-        self.write_window
-    }
 }
 
 impl SendCheck<'_> {
@@ -182,24 +174,70 @@
         if self.max_attempts.is_some_and(|limit| self.previous_attempts >= limit) {
             return Err(Invariant::AttemptsBounded);
         }
-        let write_window = self.remaining_repeat_window()?;
-        let deadline = self.now.after(timeout).min(self.valid_until);
-        Ok(SendPermit { deadline, write_window })
+        self.check_repeat()?;
+        Ok(SendPermit { deadline: self.now.after(timeout).min(self.valid_until) })
     }
 
-    /// Returns the rest of the class's repeat window, or `None` if the attempt has no such limit.
-    fn remaining_repeat_window(&self) -> Result<Option<Duration>, Invariant> {
+    /// Checks whether the class allows this attempt beside the earlier ones that may run.
+    fn check_repeat(&self) -> Result<(), Invariant> {
         match (self.class.idempotency, self.first_possible_run) {
-            (Idempotency::Idempotent, _) | (_, None) => Ok(None),
+            (Idempotency::Idempotent, _) | (_, None) => Ok(()),
             (Idempotency::NonIdempotent, Some(_)) => Err(Invariant::RetriedSafely),
             (Idempotency::Keyed, Some(first_possible_run)) => {
-                let remaining = self.class.repeat_window.saturating_sub(self.now.since(first_possible_run));
-                if remaining.is_zero() { Err(Invariant::RetriedInWindow) } else { Ok(Some(remaining)) }
+                let is_in_window = self.now < first_possible_run.after(self.class.repeat_window);
+                if is_in_window { Ok(()) } else { Err(Invariant::RetriedInWindow) }
             }
         }
     }
 }
 
+/// Input of the check that an attempt has to pass at the time of its write, since it may have waited for a connection
+/// while another attempt of its part was written.
+#[derive(Clone, Copy, Debug)]
+pub struct WriteCheck<'a> {
+    /// Current time.
+    pub now: Time,
+    /// Class of the query.
+    pub class: &'a Class,
+    /// Time at which the first write of an attempt of the part began, among the attempts that may run; `None` before
+    /// any write.
+    pub first_write_at: Option<Time>,
+}
+
+/// Proof that an attempt may be written now. Only [`WriteCheck::permit`] creates it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WritePermit {
+    deadline: Option<Time>,
+}
+
+impl WritePermit {
+    /// Returns the time by which the last byte of the frame has to be written, or `None` if there is no limit.
+    #[must_use]
+    pub fn deadline(&self) -> Option<Time> {
+        self.deadline
+    }
+}
+
+impl WriteCheck<'_> {
+    /// Checks the write against the repeat window. All attempts of a keyed part that may run, the first one included,
+    /// have to be written within one window, because workers discard repeats only that long.
+    ///
+    /// # Errors
+    /// [`Invariant::RetriedInWindow`] if the window has ended.
+    pub fn permit(&self) -> Result<WritePermit, Invariant> {
+        if self.class.idempotency != Idempotency::Keyed {
+            return Ok(WritePermit { deadline: None });
+        }
+        let deadline = self.first_write_at.unwrap_or(self.now).after(self.class.repeat_window);
+        let is_in_window = self.first_write_at.is_none() || self.now < deadline;
+        if is_in_window {
+            Ok(WritePermit { deadline: Some(deadline) })
+        } else {
+            Err(Invariant::RetriedInWindow)
+        }
+    }
+}
+
 /// Checks whether an answer with this coverage may be given, and whether it may be marked complete if `complete` is
 /// set.
 ///
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -26,7 +26,7 @@
 pub use clock::Clock;
 pub use command::Command;
 pub use contracts::{BrokerLimits, Contracts};
-pub use core::Core;
+pub use core::{Core, WriteRefused};
 pub use counters::Counters;
 pub use invariants::{Invariant, SendPermit, Violations};
 pub use query::{QueryOutcome, QueryPart, Rejection, SearchRequest};
--- a/src/routing/open_queries.rs
+++ b/src/routing/open_queries.rs
@@ -33,8 +33,8 @@
     pub worker: WorkerId,
     /// Time at which the attempt was handed to the transport.
     pub sent_at: Time,
-    /// Time at which the transport wrote the attempt; `None` while it waits to be written.
-    pub written_at: Option<Time>,
+    /// Time at which the transport began to write the attempt; `None` while it waits to be written.
+    pub write_began_at: Option<Time>,
 }
 
 /// One part of an open query.
@@ -74,9 +74,9 @@
         self.possible_runs.values().map(|run| run.sent_at).min()
     }
 
-    /// Returns when the first of the attempts that may run was written.
-    pub fn first_written_at(&self) -> Option<Time> {
-        self.possible_runs.values().filter_map(|run| run.written_at).min()
+    /// Returns when the first write of an attempt that may run began.
+    pub fn first_write_at(&self) -> Option<Time> {
+        self.possible_runs.values().filter_map(|run| run.write_began_at).min()
     }
 }
 
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -22,8 +22,7 @@
     Malformed(#[from] MalformedMessage),
 }
 
-/// Writes a request and reads its response. Interim responses (1xx) are skipped. `buffer` keeps any bytes that follow
-/// the response.
+/// Writes a request and reads its response; see [`send`] and [`receive`].
 ///
 /// # Errors
 /// The connection failed, see [`ExchangeError`], or the response is malformed or its body exceeds `max_body_bytes`.
@@ -33,7 +32,28 @@
     request: &[u8],
     max_body_bytes: usize,
 ) -> Result<ReceivedResponse, ExchangeError> {
-    stream.write_all(request).await.map_err(ExchangeError::NotSent)?;
+    send(stream, request).await?;
+    receive(stream, buffer, max_body_bytes).await
+}
+
+/// Writes a request.
+///
+/// # Errors
+/// [`ExchangeError::NotSent`] if the connection failed before the last byte was written.
+pub async fn send(stream: &mut dyn Stream, request: &[u8]) -> Result<(), ExchangeError> {
+    stream.write_all(request).await.map_err(ExchangeError::NotSent)
+}
+
+/// Reads the response to a request that was written. Interim responses (1xx) are skipped. `buffer` keeps any bytes that
+/// follow the response.
+///
+/// # Errors
+/// The connection failed or ended, or the response is malformed or its body exceeds `max_body_bytes`.
+pub async fn receive(
+    stream: &mut dyn Stream,
+    buffer: &mut BytesMut,
+    max_body_bytes: usize,
+) -> Result<ReceivedResponse, ExchangeError> {
     loop {
         if let Some(response) = http::take_response(buffer, max_body_bytes)? {
             if response.status >= 200 {
--- a/src/transport/index_servers.rs
+++ b/src/transport/index_servers.rs
@@ -37,8 +37,15 @@
     limits: BrokerLimits,
     descriptor_pool: Rc<DescriptorPool>,
     servers: RefCell<HashMap<WorkerId, Rc<Server>>>,
-    /// The tasks of the attempts in flight.
-    searches: RefCell<HashMap<AttemptId, AbortHandle>>,
+    /// The attempts in flight.
+    searches: RefCell<HashMap<AttemptId, Search>>,
+}
+
+/// An attempt in flight.
+struct Search {
+    task: AbortHandle,
+    /// Whether the write of the request has begun.
+    write_began: bool,
 }
 
 /// One index server, at one address.
@@ -130,6 +137,13 @@
             Ok(connection) => connection,
             Err(outcome) => return AttemptCompletion::without_value(outcome),
         };
+        // The server may have been removed, or the repeat window may have ended, while the connection was opened.
+        let permit = self.0.broker.begin_write(part.attempt_id).ok();
+        let Some(write_deadline) = permit.filter(|_| server.accepts_searches.get()) else {
+            self.keep_idle(server, connection);
+            return AttemptCompletion::without_value(AttemptOutcome::NotSent);
+        };
+        self.mark_write_began(part.attempt_id);
         let timeout_ms = part.time_left(self.0.broker.now()).as_millis().max(1);
         let target =
             format!("/{}/_search?preference=_shards:{}&timeout={timeout_ms}ms", part.label, part.shard.0);
@@ -139,11 +153,12 @@
         reservation.set(request.len());
         let stream = &mut *connection.stream;
         let written_at = self.0.broker.now();
-        let exchanged = http_client::exchange(stream, &mut buffer, &request, MAX_RESULT_BYTES).await;
-        if !matches!(exchanged, Err(ExchangeError::NotSent(_))) {
-            self.0.broker.on_attempts_written(written_at, &[part.attempt_id]);
+        if let Err(outcome) = send_before(write_deadline, stream, &request).await {
+            log::warn!("index server at {}: the search was not written: {outcome:?}", server.address);
+            return AttemptCompletion::without_value(outcome);
         }
-        match exchanged {
+        self.0.broker.on_attempts_written(written_at, &[part.attempt_id]);
+        match http_client::receive(stream, &mut buffer, MAX_RESULT_BYTES).await {
             Ok(response) => {
                 if response.keep_alive && buffer.is_empty() {
                     self.keep_idle(server, connection);
@@ -161,6 +176,12 @@
         }
     }
 
+    fn mark_write_began(&self, attempt_id: AttemptId) {
+        if let Some(search) = self.0.searches.borrow_mut().get_mut(&attempt_id) {
+            search.write_began = true;
+        }
+    }
+
     /// Takes an idle connection or opens a new one. Without a connection nothing was sent; the error is the outcome of
     /// the attempt.
     async fn take_or_connect(
@@ -212,6 +233,23 @@
     }
 }
 
+/// Writes a request, which fails if its last byte is not written before the deadline. The error is the outcome of the
+/// attempt; the server has not executed it.
+async fn send_before(
+    deadline: Option<Instant>,
+    stream: &mut dyn Stream,
+    request: &[u8],
+) -> Result<(), AttemptOutcome> {
+    let sending = http_client::send(stream, request);
+    let sent = match deadline {
+        Some(deadline) => {
+            tokio::time::timeout_at(deadline, sending).await.map_err(|_| AttemptOutcome::NotSent)?
+        }
+        None => sending.await,
+    };
+    sent.map_err(|_| AttemptOutcome::ConnectFailed)
+}
+
 /// The completion of the attempt that got this response.
 fn completion_of(server: &Server, response: ReceivedResponse) -> AttemptCompletion {
     match response.status {
@@ -273,7 +311,8 @@
             match &server {
                 Some(server) => {
                     let task = spawn_local(self.clone().run_search(worker, server.clone(), part));
-                    self.0.searches.borrow_mut().insert(attempt_id, task.abort_handle());
+                    let search = Search { task: task.abort_handle(), write_began: false };
+                    self.0.searches.borrow_mut().insert(attempt_id, search);
                 }
                 None => self.0.broker.on_attempt_finished(
                     attempt_id,
@@ -285,8 +324,18 @@
 
     /// Aborts the task of a search, which closes its connection: the API cancels a search whose connection is closed.
     fn cancel(&self, _worker: WorkerId, attempt_id: AttemptId) {
-        if let Some(task) = self.0.searches.borrow_mut().remove(&attempt_id) {
-            task.abort();
+        if let Some(search) = self.0.searches.borrow_mut().remove(&attempt_id) {
+            search.task.abort();
+        }
+    }
+
+    fn cancel_if_unsent(&self, worker: WorkerId, attempt_id: AttemptId) {
+        let write_began = self.0.searches.borrow().get(&attempt_id).is_none_or(|search| search.write_began);
+        if write_began {
+            return;
         }
+        self.cancel(worker, attempt_id);
+        let not_sent = AttemptCompletion::without_value(AttemptOutcome::NotSent);
+        self.0.broker.on_attempt_finished(attempt_id, not_sent);
     }
 }
--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -208,7 +208,7 @@
     fn cancel_if_unsent(&self, id: WorkerId, attempt_id: AttemptId) {
         let workers = self.0.workers.borrow();
         let connections = workers.get(&id).into_iter().flat_map(|worker| &worker.connections);
-        let unsent = connections.flat_map(|connection| connection.cancel_if_unsent(attempt_id)).collect();
+        let unsent = connections.filter_map(|connection| connection.cancel_if_unsent(attempt_id)).collect();
         drop(workers);
         self.report_outcomes(unsent, AttemptOutcome::NotSent);
     }
--- a/src/transport/workers/connection.rs
+++ b/src/transport/workers/connection.rs
@@ -5,7 +5,7 @@
 
 use crate::policy::Time;
 use crate::protocol::frame;
-use crate::routing::{AttemptId, Dispatch};
+use crate::routing::{AttemptId, Dispatch, WriteRefused};
 use crate::transport::descriptor_pool::DescriptorPermit;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
@@ -47,8 +47,8 @@
     content: Content,
     /// The parts that the frame carries; empty for a frame that cancels a part.
     parts: Vec<FramePart>,
-    /// The time after which the frame may not be written: the end of its write window, or [`PARTIAL_WRITE_LIMIT`] after
-    /// its first byte, whichever is earlier.
+    /// The time after which the frame may not be written: the earliest end of its parts' repeat windows, or
+    /// [`PARTIAL_WRITE_LIMIT`] after its first byte, whichever is earlier.
     write_deadline: Option<Instant>,
 }
 
@@ -98,13 +98,34 @@
         self.content = Content::Remainder(remainder);
     }
 
-    fn carries(&self, id: &str) -> bool {
-        self.parts.iter().any(|part| part.id == id)
+    /// Whether the frame is a call of which no byte is written. Its parts can still be taken out of it.
+    fn is_unsent_call(&self) -> bool {
+        matches!(self.content, Content::Call(_))
     }
 
-    /// Whether any part of the frame is still in flight.
-    fn is_needed(&self, parts: &HashMap<String, PartInFlight>) -> bool {
-        self.parts.iter().any(|part| parts.contains_key(&part.id))
+    /// Takes the parts for which `is_taken` holds out of a call of which no byte is written.
+    fn take_parts(&mut self, mut is_taken: impl FnMut(&FramePart) -> bool) -> Vec<FramePart> {
+        let Content::Call(dispatches) = &mut self.content else { return Vec::new() };
+        let taken: Vec<FramePart> = self.parts.extract_if(.., |part| is_taken(part)).collect();
+        dispatches.retain(|dispatch| !taken.iter().any(|part| part.attempt_id == dispatch.attempt_id));
+        taken
+    }
+
+    /// Asks for a permit to write each part, and takes the parts out that get none.
+    fn take_refused(
+        &mut self,
+        begin_write: &mut impl FnMut(AttemptId) -> Result<Option<Instant>, WriteRefused>,
+    ) -> Vec<FramePart> {
+        let mut earliest: Option<Instant> = None;
+        let refused = self.take_parts(|part| match begin_write(part.attempt_id) {
+            Ok(deadline) => {
+                earliest = earliest.into_iter().chain(deadline).min();
+                false
+            }
+            Err(WriteRefused) => true,
+        });
+        self.write_deadline = earliest;
+        refused
     }
 }
 
@@ -114,8 +135,6 @@
     pub attempt_id: AttemptId,
     /// When the last byte of the part's frame was written.
     pub written_at: Option<Instant>,
-    /// Whether the attempt is to be taken back if its frame is not written yet.
-    cancelled_if_unsent: bool,
 }
 
 impl Connection {
@@ -206,18 +225,14 @@
     pub fn send(&self, parts: Vec<Dispatch>) {
         let mut in_flight = self.parts.borrow_mut();
         let mut frame_parts = Vec::with_capacity(parts.len());
-        let window = parts.iter().filter_map(Dispatch::write_window).min();
         for part in &parts {
             let id = frame::part_id(&part.label, part.shard.0);
-            let entry =
-                PartInFlight { attempt_id: part.attempt_id, written_at: None, cancelled_if_unsent: false };
-            in_flight.insert(id.clone(), entry);
+            in_flight.insert(id.clone(), PartInFlight { attempt_id: part.attempt_id, written_at: None });
             frame_parts.push(FramePart { id, attempt_id: part.attempt_id });
         }
         drop(in_flight);
-        let write_deadline = window.map(|window| Instant::now() + window);
         let content = Content::Call(parts);
-        self.frames.borrow_mut().push_back(Frame { content, parts: frame_parts, write_deadline });
+        self.frames.borrow_mut().push_back(Frame { content, parts: frame_parts, write_deadline: None });
         self.update_descriptor();
         self.wake.notify_one();
     }
@@ -232,9 +247,32 @@
         self.frames.borrow().front().map(|frame| frame.bytes(now)).unwrap_or_default()
     }
 
-    /// The time after which the next frame may not be written, if it has one.
-    pub fn write_deadline(&self) -> Option<Instant> {
-        self.frames.borrow().front().and_then(|frame| frame.write_deadline)
+    /// The time after which the next frame may not be written, if it is partly written. A frame of which no byte is
+    /// written needs none: its parts are taken back.
+    pub fn partial_write_deadline(&self) -> Option<Instant> {
+        let frames = self.frames.borrow();
+        frames.front().filter(|frame| frame.is_partly_written()).and_then(|frame| frame.write_deadline)
+    }
+
+    /// Asks for a permit to write each part of the next call, and takes back the parts that get none. Returns their
+    /// attempts. Does nothing if the next frame is partly written or is no call.
+    pub fn take_refused(
+        &self,
+        mut begin_write: impl FnMut(AttemptId) -> Result<Option<Instant>, WriteRefused>,
+    ) -> Vec<AttemptId> {
+        let (mut frames, mut in_flight) = (self.frames.borrow_mut(), self.parts.borrow_mut());
+        let mut attempts = Vec::new();
+        while let Some(frame) = frames.front_mut().filter(|frame| frame.is_unsent_call()) {
+            for part in frame.take_refused(&mut begin_write) {
+                in_flight.remove(&part.id);
+                attempts.push(part.attempt_id);
+            }
+            if !frame.parts.is_empty() {
+                break;
+            }
+            frames.pop_front();
+        }
+        attempts
     }
 
     /// Records that all of the next frame but `remainder` was written. Returns the attempts whose frame is complete with
@@ -283,11 +321,11 @@
         self.parts.take().into_values().collect()
     }
 
-    /// Cancels an attempt; false if it is not on this connection. The frame of the part is dropped if no byte of it is
-    /// written and it carries no other part in flight. Otherwise the worker is notified, if `notify_worker` is set.
+    /// Cancels an attempt; false if it is not on this connection. The part is taken out of its frame if no byte of the
+    /// frame is written. Otherwise the worker is notified, if `notify_worker` is set.
     pub fn cancel(&self, attempt_id: AttemptId, unresponsive_after: Duration, notify_worker: bool) -> bool {
         let Some((id, part)) = self.remove_part(attempt_id) else { return false };
-        if !self.drop_unsent_frame(&id) {
+        if !self.remove_from_unsent_call(attempt_id) {
             self.remember_finished(id.clone());
             if notify_worker {
                 self.frames.borrow_mut().push_back(Frame::cancel(&id));
@@ -308,45 +346,40 @@
         parts.remove_entry(&id)
     }
 
-    /// Drops the frame of this part if no byte of it is written and none of its parts is in flight. Returns whether it
-    /// was dropped.
-    fn drop_unsent_frame(&self, id: &str) -> bool {
-        let (parts, mut frames) = (self.parts.borrow(), self.frames.borrow_mut());
-        let before = frames.len();
-        frames.retain(|frame| frame.is_partly_written() || !frame.carries(id) || frame.is_needed(&parts));
-        frames.len() < before
+    /// Takes an attempt out of the call that carries it, if no byte of the call is written. Returns whether it was taken
+    /// out.
+    fn remove_from_unsent_call(&self, attempt_id: AttemptId) -> bool {
+        !self.take_from_unsent_calls(|part| part.attempt_id == attempt_id).is_empty()
+    }
+
+    /// Takes the parts for which `is_taken` holds out of the calls of which no byte is written. Drops calls without
+    /// parts.
+    fn take_from_unsent_calls(&self, is_taken: impl Fn(&FramePart) -> bool) -> Vec<FramePart> {
+        let mut taken = Vec::new();
+        self.frames.borrow_mut().retain_mut(|frame| {
+            taken.extend(frame.take_parts(&is_taken));
+            !frame.is_unsent_call() || !frame.parts.is_empty()
+        });
+        taken
     }
 
-    /// Takes back all calls of which no byte is written; returns their attempts.
+    /// Takes back all parts of which no byte is written; returns their attempts.
     pub fn take_unsent(&self) -> Vec<AttemptId> {
         self.take_unsent_where(|_| true)
     }
 
-    /// Marks an attempt to be taken back, and takes back each call of which no byte is written and all of whose parts
-    /// are marked. A call is taken back as a whole or not at all. Returns the attempts that were taken back.
-    pub fn cancel_if_unsent(&self, attempt_id: AttemptId) -> Vec<AttemptId> {
-        let mut parts = self.parts.borrow_mut();
-        let Some(part) = parts.values_mut().find(|part| part.attempt_id == attempt_id) else {
-            return Vec::new();
-        };
-        part.cancelled_if_unsent = true;
-        drop(parts);
-        self.take_unsent_where(|part| part.cancelled_if_unsent)
+    /// Takes back an attempt if no byte of its frame is written; returns it if it was taken back.
+    pub fn cancel_if_unsent(&self, attempt_id: AttemptId) -> Option<AttemptId> {
+        self.take_unsent_where(|part| part.attempt_id == attempt_id).pop()
     }
 
-    fn take_unsent_where(&self, may_take: impl Fn(&PartInFlight) -> bool) -> Vec<AttemptId> {
-        let mut parts = self.parts.borrow_mut();
-        let mut attempts = Vec::new();
-        self.frames.borrow_mut().retain(|frame| {
-            let must_stay = |part: &FramePart| parts.get(&part.id).is_some_and(|part| !may_take(part));
-            if frame.is_partly_written() || frame.parts.is_empty() || frame.parts.iter().any(must_stay) {
-                return true;
-            }
-            attempts.extend(
-                frame.parts.iter().filter_map(|part| parts.remove(&part.id)).map(|part| part.attempt_id),
-            );
-            false
-        });
-        attempts
+    fn take_unsent_where(&self, is_taken: impl Fn(&FramePart) -> bool) -> Vec<AttemptId> {
+        let taken = self.take_from_unsent_calls(is_taken);
+        let mut in_flight = self.parts.borrow_mut();
+        for part in &taken {
+            in_flight.remove(&part.id);
+        }
+        self.wake.notify_one();
+        taken.into_iter().map(|part| part.attempt_id).collect()
     }
 }
--- a/src/transport/workers/session.rs
+++ b/src/transport/workers/session.rs
@@ -92,14 +92,7 @@
     connection: &Connection,
     time_left: Duration,
 ) -> Disconnect {
-    let connecting = connect(shared, worker, connection, time_left);
-    let connected = match connection.write_deadline() {
-        Some(deadline) => tokio::time::timeout_at(deadline, connecting)
-            .await
-            .unwrap_or_else(|_| Err(Disconnect::write_timed_out())),
-        None => connecting.await,
-    };
-    match connected {
+    match connect(shared, worker, connection, time_left).await {
         Ok(Some(stream)) => Session::new(shared, connection).serve(stream).await,
         Ok(None) => Disconnect::closed("no longer needed"),
         Err(disconnect) => disconnect,
@@ -129,12 +122,19 @@
     Ok(Some(stream))
 }
 
-/// A write of bytes of the next frame.
-struct WriteProgress {
-    /// The bytes that remain to be written.
-    remainder: Bytes,
-    /// When the write began.
-    at: Time,
+/// The result of a try to write the next frame.
+enum WriteProgress {
+    /// Bytes of the frame were written.
+    Written {
+        /// The bytes that remain to be written.
+        remainder: Bytes,
+        /// When the write began.
+        at: Time,
+    },
+    /// The frame is partly written, and its deadline has passed.
+    Overdue,
+    /// No frame waits any longer: all parts were taken back.
+    NoFrame,
 }
 
 /// Writes as much of the next frame as the socket accepts. Until the first byte is
@@ -145,6 +145,16 @@
     broker: &Broker,
 ) -> io::Result<WriteProgress> {
     std::future::poll_fn(|cx| {
+        let refused = connection.take_refused(|attempt_id| broker.begin_write(attempt_id));
+        for attempt_id in refused {
+            broker.on_attempt_finished(attempt_id, AttemptCompletion::without_value(AttemptOutcome::NotSent));
+        }
+        if !connection.has_frame() {
+            return Poll::Ready(Ok(WriteProgress::NoFrame));
+        }
+        if is_past(connection.partial_write_deadline()) {
+            return Poll::Ready(Ok(WriteProgress::Overdue));
+        }
         let at = broker.now();
         let mut frame = connection.next_frame(at);
         let count = ready!(Pin::new(&mut *write).poll_write(cx, &frame))?;
@@ -152,15 +162,19 @@
             return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
         }
         frame.advance(count);
-        Poll::Ready(Ok(WriteProgress { remainder: frame, at }))
+        Poll::Ready(Ok(WriteProgress::Written { remainder: frame, at }))
     })
     .await
 }
 
+fn is_past(deadline: Option<Instant>) -> bool {
+    deadline.is_some_and(|deadline| deadline <= Instant::now())
+}
+
 /// An event that a session handles.
 enum SessionEvent {
     Read(io::Result<usize>),
-    /// A part of the next frame was written, or all of it.
+    /// The next frame was tried to be written.
     Written(io::Result<WriteProgress>),
     /// The state of the connection was changed.
     Wake,
@@ -218,9 +232,6 @@
             return Err(Disconnect::closed("retired"));
         }
         self.connection.update_descriptor();
-        if self.connection.write_deadline().is_some_and(|deadline| deadline <= Instant::now()) {
-            return Err(Disconnect::write_timed_out());
-        }
         self.buffer.reserve(READ_CHUNK_BYTES.saturating_sub(self.buffer.len()).max(MIN_READ_BYTES));
         self.buffer_reservation.set(self.buffer.capacity());
         let event = self.next_event(read, write).await;
@@ -237,7 +248,8 @@
         read: &mut ReadHalf<Box<dyn Stream>>,
         write: &mut WriteHalf<Box<dyn Stream>>,
     ) -> SessionEvent {
-        let (has_frame, write_deadline) = (self.connection.has_frame(), self.connection.write_deadline());
+        let (has_frame, write_deadline) =
+            (self.connection.has_frame(), self.connection.partial_write_deadline());
         let limits = &self.shared.limits;
         let idle_deadline = self.last_used + limits.connection_idle_timeout.mul_f64(IDLE_CLOSE_FRACTION);
         // A message that stays incomplete would block the connection, so it may take no longer than a connect.
@@ -263,11 +275,7 @@
         match event {
             SessionEvent::Read(Ok(0)) => Err(Disconnect::closed("closed by the worker")),
             SessionEvent::Read(Ok(_)) => self.on_read(),
-            SessionEvent::Written(Ok(progress)) => {
-                let written = self.connection.mark_written(progress.remainder);
-                self.shared.broker.on_attempts_written(progress.at, &written);
-                Ok(())
-            }
+            SessionEvent::Written(Ok(progress)) => self.on_write(progress),
             SessionEvent::Read(Err(error)) | SessionEvent::Written(Err(error)) => {
                 Err(Disconnect::Closed(error.to_string()))
             }
@@ -281,6 +289,18 @@
         }
     }
 
+    fn on_write(&self, progress: WriteProgress) -> Result<(), Disconnect> {
+        match progress {
+            WriteProgress::Written { remainder, at } => {
+                let written = self.connection.mark_written(remainder);
+                self.shared.broker.on_attempts_written(at, &written);
+                Ok(())
+            }
+            WriteProgress::Overdue => Err(Disconnect::write_timed_out()),
+            WriteProgress::NoFrame => Ok(()),
+        }
+    }
+
     /// Handles the bytes that were read.
     fn on_read(&mut self) -> Result<(), Disconnect> {
         self.connection.mark_read();
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -6,7 +6,9 @@
 use gatherer::limits::{DescriptorBudget, DescriptorClass};
 use gatherer::policy::{Class, Idempotency, Time};
 use gatherer::protocol::http::{MalformedMessage, Request, Response};
-use gatherer::routing::invariants::{INVARIANTS, SendCheck, check_answer, check_rejection};
+use gatherer::routing::invariants::{
+    INVARIANTS, SendCheck, WriteCheck, WritePermit, check_answer, check_rejection,
+};
 use gatherer::routing::{Invariant, Violations};
 use gatherer::transport::connection_manager::ConnectionManager;
 use gatherer::transport::descriptor_pool::DescriptorPool;
@@ -58,11 +60,29 @@
     assert_eq!(violated_by(past_window), Invariant::RetriedInWindow);
     let within_window =
         SendCheck { previous_attempts: 1, first_possible_run: ms_ago(400), ..valid_check(&keyed) };
-    assert_eq!(within_window.permit(ms(100)).map(|permit| permit.write_window()), Ok(Some(ms(600))));
+    assert!(within_window.permit(ms(100)).is_ok(), "the attempt is within the window");
     let never_run = SendCheck { previous_attempts: 1, ..valid_check(&non_idempotent) };
     assert!(never_run.permit(ms(100)).is_ok(), "no previous attempt can have run");
 }
 
+#[test]
+fn all_writes_of_a_keyed_part_are_permitted_within_one_repeat_window_only() {
+    let keyed = class(Idempotency::Keyed);
+    let at = |elapsed| NOW.after(ms(elapsed));
+    let write_at =
+        |elapsed, first_write_at| WriteCheck { now: at(elapsed), class: &keyed, first_write_at }.permit();
+    let deadline = |permit: Result<WritePermit, Invariant>| permit.map(|permit| permit.deadline());
+    assert_eq!(deadline(write_at(0, None)), Ok(Some(at(1000))), "the first write starts the window");
+    // The first attempt too, if another one was written while it waited.
+    assert_eq!(deadline(write_at(400, Some(NOW))), Ok(Some(at(1000))));
+    assert_eq!(deadline(write_at(999, Some(NOW))), Ok(Some(at(1000))));
+    assert_eq!(deadline(write_at(1000, Some(NOW))), Err(Invariant::RetriedInWindow));
+    for unlimited in [class(Idempotency::Idempotent), class(Idempotency::NonIdempotent)] {
+        let check = WriteCheck { now: at(5000), class: &unlimited, first_write_at: Some(NOW) };
+        assert_eq!(deadline(check.permit()), Ok(None));
+    }
+}
+
 #[test]
 fn each_invariant_of_completion_rejects_what_breaks_it() {
     let half_required = Class { min_coverage: 0.5, ..class(Idempotency::Idempotent) };
