List the counter of attempts taken back past their window last

Cause: put unsent_past_window before listings; the test of the counters' names and order failed on it.

The check itself compares all names in their order, as before.

--- a/src/routing/counters.rs
+++ b/src/routing/counters.rs
@@ -69,10 +69,10 @@
     ended_cancelled,
     /// Attempts that were never sent.
     ended_skipped,
-    /// Attempts among `ended_skipped` that waited for a connection until the repeat window of their part had ended.
-    unsent_past_window,
     /// Endpoint lists and changes that were applied, cached ones included.
     listings,
+    /// Attempts among `ended_skipped` that waited for a connection until the repeat window of their part had ended.
+    unsent_past_window,
 }
 
 /// Numbers of queries of one class, by how they ended.
