Reject results whose sort values are not of one kind, and merge any others in a total order

Callers saw: with one bad index server of eight more than half of the searches got no answer; the connection was closed without a byte. The others were answered with the spoilt hits in a wrong order.

Cause: two. compare_sort_values was no total order: a text or a bool equalled infinity beside a number and had an order of its own beside its like, and integers beyond 2^53 equalled a float that two different ones equal. sort_by panics on such an order, in the task that serves the client. And a result counted as served as soon as each hit had a list named sort, so that a result with noise in it was merged instead of counted as a failed attempt, and a sound holder was never asked.

Change: a result is acceptable only if its hits have the same number of sort values and those of each key are of one kind (number, text or bool; missing values are of any; Infinity, -Infinity and NaN, as servers write floats, are numbers beside numbers). Any other is a failed attempt that may have run. SortValue compares any two values in a total order, numbers by their exact value, so that no mix over several shards can panic; infinities are in their place. The sum of totals saturates.

Could it lose a sound answer? Kinds are judged per key and result, missing values, special floats, mixed integers and floats and texts named Infinity are accepted, by tests. Whether the hits arrive in the requested order isn't checked: servers sort some fields (versions, addresses, formatted dates) differently from their texts.

--- a/src/protocol/opensearch/merge.rs
+++ b/src/protocol/opensearch/merge.rs
@@ -1,29 +1,13 @@
 //! Decodes the results of shards and merges them into one order. Results that timed out, failed in part, or have hits
-//! without sort values are rejected.
+//! without valid sort values are rejected.
 
 use super::search::{Search, SortKey};
+use super::sort_value::{SortValue, are_of_one_kind};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::cmp::Ordering;
 use std::time::Duration;
 
-/// Compares two sort values. Missing ones come first or last, whatever the direction.
-fn compare_sort_values(a: &Value, b: &Value, key: &SortKey) -> Ordering {
-    let missing_order = |first: bool| if first { Ordering::Less } else { Ordering::Greater };
-    let ascending = match (a, b) {
-        (Value::Null, Value::Null) => return Ordering::Equal,
-        (Value::Null, _) => return missing_order(key.missing_first),
-        (_, Value::Null) => return missing_order(key.missing_first).reverse(),
-        (Value::String(a), Value::String(b)) => a.cmp(b),
-        (Value::Bool(a), Value::Bool(b)) => a.cmp(b),
-        _ => match (a.as_i64(), b.as_i64()) {
-            (Some(a), Some(b)) => a.cmp(&b),
-            _ => a.as_f64().unwrap_or(f64::INFINITY).total_cmp(&b.as_f64().unwrap_or(f64::INFINITY)),
-        },
-    };
-    if key.descending { ascending.reverse() } else { ascending }
-}
-
 #[derive(Deserialize)]
 struct ShardResult {
     #[serde(default)]
@@ -66,15 +50,28 @@
     }
 }
 
-/// Decodes the response of a shard; `None` if it timed out or failed in part, or if a hit has no sort values.
+/// Decodes the response of a shard; `None` if it timed out or failed in part, or if its hits have no valid sort values.
 fn decode_complete_result(body: &[u8]) -> Option<ShardResult> {
     let result: ShardResult = serde_json::from_slice(body).ok()?;
-    let sorted = result.hits.hits.iter().all(|hit| hit.get("sort").is_some_and(Value::is_array));
-    (sorted && !result.timed_out && result.shards.failed == 0).then_some(result)
+    let is_complete = !result.timed_out && result.shards.failed == 0;
+    (is_complete && has_valid_sort_values(&result.hits.hits)).then_some(result)
+}
+
+/// Whether all hits have the same number of sort values, and the values of each key are of one kind.
+fn has_valid_sort_values(hits: &[Value]) -> bool {
+    let Some(rows) = hits.iter().map(sort_values).collect::<Option<Vec<_>>>() else { return false };
+    let keys = rows.first().map_or(0, |row| row.len());
+    rows.iter().all(|row| row.len() == keys)
+        && (0..keys).all(|key| are_of_one_kind(rows.iter().map(|row| &row[key])))
+}
+
+/// Returns the sort values of a hit as the server sent them.
+fn sort_values(hit: &Value) -> Option<&Vec<Value>> {
+    hit.get("sort")?.as_array()
 }
 
 /// Whether the body of an index server's response is an acceptable result: it neither timed out nor failed in part, and
-/// its hits have sort values.
+/// its hits have valid sort values.
 #[must_use]
 pub fn is_acceptable_result(body: &[u8]) -> bool {
     decode_complete_result(body).is_some()
@@ -95,7 +92,7 @@
 
 /// A hit with the values by which it is sorted.
 struct SortedHit {
-    sort_values: Vec<Value>,
+    sort_values: Vec<SortValue>,
     shard: u32,
     hit: Value,
 }
@@ -103,21 +100,38 @@
 impl SortedHit {
     /// Compares two hits by each sort key in turn, then by shard.
     fn compare(&self, other: &SortedHit, keys: &[SortKey]) -> Ordering {
-        let by_keys = keys.iter().enumerate().map(|(index, key)| {
-            let own = self.sort_values.get(index).unwrap_or(&Value::Null);
-            compare_sort_values(own, other.sort_values.get(index).unwrap_or(&Value::Null), key)
-        });
+        let values = self.sort_values.iter().zip(&other.sort_values);
+        let by_keys =
+            values.zip(keys).map(|((own, other), key)| own.compare(other, key.descending, key.missing_first));
         by_keys.fold(Ordering::Equal, Ordering::then).then(self.shard.cmp(&other.shard))
     }
 }
 
+/// Returns a sort value of a hit as the server sent it, by the number of its key.
+fn sort_value(hit: &Value, key: usize) -> Option<&Value> {
+    sort_values(hit)?.get(key)
+}
+
+/// Reads the sort values of all hits, given with their shards. Each hit gets a value for every key.
+fn read_sort_values(hits: Vec<(u32, Value)>, keys: usize) -> Vec<SortedHit> {
+    let is_numeric = |key| hits.iter().any(|(_, hit)| sort_value(hit, key).is_some_and(Value::is_number));
+    let numeric_keys: Vec<bool> = (0..keys).map(is_numeric).collect();
+    let sorted_hits = hits.into_iter().map(|(shard, hit)| {
+        let values = numeric_keys.iter().enumerate().map(|(key, is_numeric)| {
+            SortValue::new(sort_value(&hit, key).unwrap_or(&Value::Null), *is_numeric)
+        });
+        SortedHit { sort_values: values.collect(), shard, hit }
+    });
+    sorted_hits.collect()
+}
+
 /// Removes the sort values that the client did not request.
-fn truncate_sort_values(hit: &mut Value, sort_values: &[Value], requested: usize) {
+fn truncate_sort_values(hit: &mut Value, requested: usize) {
     let Some(fields) = hit.as_object_mut() else { return };
     if requested == 0 {
         fields.remove("sort");
-    } else {
-        fields.insert("sort".to_owned(), sort_values.iter().take(requested).cloned().collect());
+    } else if let Some(values) = fields.get_mut("sort").and_then(Value::as_array_mut) {
+        values.truncate(requested);
     }
 }
 
@@ -125,23 +139,22 @@
 #[must_use]
 pub fn merge_results<'a>(search: &Search, results: impl Iterator<Item = (u32, &'a [u8])>) -> MergedResult {
     let mut merged = MergedResult { complete: true, total_is_exact: true, ..MergedResult::default() };
-    let mut sorted_hits: Vec<SortedHit> = Vec::new();
+    let mut hits_of_shards: Vec<(u32, Value)> = Vec::new();
     for (shard, body) in results {
         let Some(result) = decode_complete_result(body) else { continue };
         let hits = result.hits;
         // Without a total, the number of hits sent is a lower bound.
-        merged.total += hits.total.as_ref().map_or(hits.hits.len() as u64, |total| total.value);
+        let total = hits.total.as_ref().map_or(hits.hits.len() as u64, |total| total.value);
+        merged.total = merged.total.saturating_add(total);
         merged.total_is_exact &= hits.total.as_ref().is_some_and(Total::is_exact);
         merged.complete &= hits.is_complete();
         merged.max_score = [merged.max_score, hits.max_score].into_iter().flatten().reduce(f64::max);
-        for mut hit in hits.hits {
-            let sort_values = hit.get("sort").and_then(Value::as_array).cloned().unwrap_or_default();
-            truncate_sort_values(&mut hit, &sort_values, search.requested_sort_values);
-            sorted_hits.push(SortedHit { sort_values, shard, hit });
-        }
+        hits_of_shards.extend(hits.hits.into_iter().map(|hit| (shard, hit)));
     }
+    let mut sorted_hits = read_sort_values(hits_of_shards, search.sort_keys.len());
     sorted_hits.sort_by(|a, b| a.compare(b, &search.sort_keys));
     merged.hits = sorted_hits.into_iter().map(|sorted| sorted.hit).collect();
+    merged.hits.iter_mut().for_each(|hit| truncate_sort_values(hit, search.requested_sort_values));
     merged
 }
 
--- a/src/protocol/opensearch/mod.rs
+++ b/src/protocol/opensearch/mod.rs
@@ -6,6 +6,7 @@
 
 mod merge;
 mod search;
+mod sort_value;
 
 pub use merge::{MergedResult, is_acceptable_result, merge_results};
 pub use search::Search;
--- a/tests/index_servers.rs
+++ b/tests/index_servers.rs
@@ -12,15 +12,22 @@
 use gatherer::transport::descriptor_pool::DescriptorPool;
 use gatherer::transport::index_servers::IndexServers;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::Instant;
+
+/// A result without hits.
+const EMPTY_RESULT: &str = r#"{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},"hits":{"total":{"value":0,"relation":"eq"},"max_score":null,"hits":[]}}"#;
 
 /// Connects to index servers that respond to every search, and records each address.
 #[derive(Default)]
 struct RespondingServers {
     addresses: RefCell<Vec<String>>,
+    /// The results of servers at these addresses; all others respond with [`EMPTY_RESULT`].
+    results: RefCell<HashMap<String, String>>,
 }
 
 impl Connector for RespondingServers {
@@ -28,19 +35,19 @@
         Box::pin(async move {
             self.addresses.borrow_mut().push(address.to_owned());
             let (client_end, server_end) = tokio::io::duplex(1 << 16);
-            spawn_local(serve_searches(server_end));
+            let result = self.results.borrow().get(address).cloned();
+            spawn_local(serve_searches(server_end, result.unwrap_or(EMPTY_RESULT.to_owned())));
             Ok(Box::new(client_end) as Box<dyn Stream>)
         })
     }
 }
 
-/// Responds to every search on a connection with an empty result.
-async fn serve_searches(mut stream: DuplexStream) {
-    let result = r#"{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},"hits":{"total":{"value":0,"relation":"eq"},"max_score":null,"hits":[]}}"#;
+/// Responds to every search on a connection with this result.
+async fn serve_searches(mut stream: DuplexStream, result: String) {
     let mut buffer = BytesMut::new();
     while matches!(stream.read_buf(&mut buffer).await, Ok(1..)) {
         while http::take_request(&mut buffer).expect("valid requests").is_some() {
-            if stream.write_all(&Response::json(200, result).encode(false)).await.is_err() {
+            if stream.write_all(&Response::json(200, result.clone()).encode(false)).await.is_err() {
                 return;
             }
         }
@@ -58,6 +65,14 @@
 
 /// Runs a test with a broker whose only worker is an index server.
 fn run_with_index_server<F: Future<Output = ()>>(main: impl FnOnce(Broker, Rc<RespondingServers>) -> F) {
+    run_with_index_servers(1, main);
+}
+
+/// Runs a test with a broker whose workers are this many index servers, each with all shards.
+fn run_with_index_servers<F: Future<Output = ()>>(
+    count: usize,
+    main: impl FnOnce(Broker, Rc<RespondingServers>) -> F,
+) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     LocalSet::new().block_on(&runtime.expect("the runtime starts"), async {
         let config = platform_config();
@@ -65,7 +80,7 @@
             DescriptorPool::new(DescriptorBudget::new(64, 16, 0).expect("the descriptors suffice"), 1 << 20);
         let broker = Broker::new(Core::new(config.contracts), Clock::starting_at(Time(1 << 60)));
         let mut list = config.initial_workers.expect("the configuration lists workers");
-        list.workers.truncate(1);
+        list.workers.truncate(count);
         broker.apply_endpoint_update(&list, ListOrigin::Cache);
         let connector = Rc::new(RespondingServers::default());
         let servers = IndexServers::new(broker.clone(), connector.clone(), descriptor_pool);
@@ -106,3 +121,36 @@
         );
     });
 }
+
+// Guards against noise among the sort values that counts as a served search: the hits would be merged in a wrong order,
+// and the sound holder of the shard never asked.
+#[test]
+fn a_result_with_noise_among_its_sort_values_is_a_failed_attempt_that_is_retried_elsewhere() {
+    let hits = r#"[{"_id":"a","sort":[17,"a"]},{"_id":"b","sort":["9f3c","b"]},{"_id":"c","sort":[19,"c"]}]"#;
+    let spoilt = EMPTY_RESULT.replace(r#""hits":[]"#, &format!(r#""hits":{hits}"#));
+    run_with_index_servers(2, |broker, connector| async move {
+        connector.results.borrow_mut().insert("w1".to_owned(), spoilt);
+        for number in 0..8 {
+            let outcome = submit(&broker, &format!("q{number}"), "search").await;
+            let QueryOutcome::Answered { complete: true, values } = outcome else { panic!("{outcome:?}") };
+            assert_eq!(values[0].1, EMPTY_RESULT.as_bytes(), "the value of the sound server");
+        }
+        assert!(connector.addresses.borrow().contains(&"w1".to_owned()), "the bad server was searched too");
+        let counters = broker.with_core(|core| core.counters.clone());
+        assert!(counters.ended_error > 0 && counters.ended_error == counters.resent_failed, "{counters}");
+    });
+}
+
+// A search that must not run twice may have run where the result is spoilt: it fails, and is not sent again.
+#[test]
+fn a_non_idempotent_search_with_a_spoilt_result_fails_at_once_and_is_not_sent_again() {
+    let spoilt = EMPTY_RESULT.replace(r#""hits":[]"#, r#""hits":[{"sort":[1]},{"sort":[true]}]"#);
+    run_with_index_server(|broker, connector| async move {
+        connector.results.borrow_mut().insert("w1".to_owned(), spoilt);
+        let started_at = Instant::now();
+        let outcome = submit(&broker, "a", "seal").await;
+        assert!(matches!(outcome, QueryOutcome::Failed), "{outcome:?}");
+        assert!(started_at.elapsed() < Duration::from_millis(100), "{:?}", started_at.elapsed());
+        assert_eq!(broker.with_core(|core| core.counters.sent), 1);
+    });
+}
