Answer a request as failed where serving it panics

Cause: the promise of one final answer was kept by ResponseGuard, which only counts its violation: a panic in a front ended the task of the connection, and the answer with it. The order of the merge was one way to panic, not the only one possible.

Change: the connection catches a panic of its front (panic_guard.rs) and writes the front's answer for a failed request, in the form of the protocol: 504 on the platform's, 500 on the OpenSearch-style one. What the future held is dropped by then, so that an open query is closed as for a client that has gone. The panic is logged with the request's name and counted as front_panicked, behind the older counters of its line.

--- a/examples/flood.rs
+++ b/examples/flood.rs
@@ -34,6 +34,9 @@
     fn rejection(&self, _: Option<&Request>) -> Response {
         Response::text(503, "overloaded")
     }
+    fn failure(&self) -> Response {
+        Response::text(500, "failed")
+    }
     fn caller<'a>(&self, _request: &'a Request) -> Option<&'a str> {
         None
     }
--- a/src/fronts/opensearch.rs
+++ b/src/fronts/opensearch.rs
@@ -117,13 +117,7 @@
             QueryOutcome::Rejected { reason, retry_after } => {
                 (opensearch::rejection_response(reason, retry_after), Execution::NotExecuted)
             }
-            QueryOutcome::Failed => {
-                let reason = "not served; it may have run in part";
-                (
-                    SearchError::new(500, "search_phase_execution_exception", reason).response(),
-                    Execution::MayHaveRun,
-                )
-            }
+            QueryOutcome::Failed => (failed_search().response(), Execution::MayHaveRun),
             QueryOutcome::Answered { values, .. } => {
                 let merged = opensearch::merge_results(
                     &search,
@@ -307,6 +301,11 @@
     }
 }
 
+/// The error for a search that was not served, and may have run.
+fn failed_search() -> SearchError {
+    SearchError::new(500, "search_phase_execution_exception", "not served; it may have run in part")
+}
+
 fn json_body(request: &Request) -> Result<Value, SearchError> {
     serde_json::from_slice(&request.body).map_err(|error| SearchError::parsing(error.to_string()))
 }
@@ -329,6 +328,10 @@
         opensearch::rejection_response(Rejection::AtCapacity, retry_after)
     }
 
+    fn failure(&self) -> Response {
+        failed_search().response()
+    }
+
     fn caller<'a>(&self, request: &'a Request) -> Option<&'a str> {
         request.headers.get("X-Opaque-Id")
     }
--- a/src/fronts/platform.rs
+++ b/src/fronts/platform.rs
@@ -4,7 +4,7 @@
 use super::counters_text;
 use crate::protocol::http::{MalformedMessage, Request, Response};
 use crate::protocol::platform;
-use crate::routing::{Broker, Invariant};
+use crate::routing::{Broker, Invariant, QueryOutcome};
 use crate::service::LifecycleState;
 use crate::transport::connection_manager::ConnectionManager;
 use crate::transport::listener::Front;
@@ -86,6 +86,10 @@
         platform::rejection_response(self.broker.with_core(|core| core.contracts().settings.max_retry_after))
     }
 
+    fn failure(&self) -> Response {
+        platform::outcome_response(&QueryOutcome::Failed)
+    }
+
     fn caller<'a>(&self, request: &'a Request) -> Option<&'a str> {
         request.headers.get("X-Caller")
     }
--- a/src/limits/connection_counters.rs
+++ b/src/limits/connection_counters.rs
@@ -32,6 +32,8 @@
     pub response_write_failed: u64,
     /// Responses that the client did not receive in full before the write time-out.
     pub response_write_timed_out: u64,
+    /// Requests answered as failed because the front panicked.
+    pub front_panicked: u64,
     /// Queries rejected because one more busy descriptor would have violated the floor of another class.
     pub rejected_no_descriptor: u64,
     /// Connects to servers that were started.
@@ -109,6 +111,10 @@
         for class in DESCRIPTOR_CLASSES {
             write!(out, " most_{class}={}", self.peak_held[class as usize])?;
         }
-        write!(out, " most_descriptors={} most_bytes={}", self.peak_descriptors, self.peak_buffered_bytes)
+        write!(
+            out,
+            " most_descriptors={} most_bytes={} front_panicked={}",
+            self.peak_descriptors, self.peak_buffered_bytes, self.front_panicked
+        )
     }
 }
--- a/src/transport/clients/connection.rs
+++ b/src/transport/clients/connection.rs
@@ -9,6 +9,7 @@
 };
 use super::connection_permit::ConnectionPermit;
 use super::front::Front;
+use super::panic_guard::catch_panic;
 use super::response_guard::ResponseGuard;
 use super::source::source;
 use crate::limits::client_connections::{EvictionReason, RequestValidity};
@@ -97,13 +98,18 @@
         let mut pipelining_overflowed = false;
         let response = tokio::select! {
             biased;
-            response = self.front.respond(request) => response,
+            response = catch_panic(self.front.respond(request)) => response,
             () = wait_for_client_close(&mut self.read, &mut self.buffer, &self.permit, body_bytes, &mut pipelining_overflowed) => {
                 self.permit.update_counters(|counters| counters.client_closed_waiting += 1);
                 guard.mark_client_gone();
                 return ControlFlow::Break(());
             }
         };
+        let response = response.unwrap_or_else(|_| {
+            log::error!("request {}: the front panicked, it is answered as failed", guard.label());
+            self.permit.update_counters(|counters| counters.front_panicked += 1);
+            self.front.failure()
+        });
         let closes = !keep_alive
             || pipelining_overflowed
             || self.permit.connection_manager().lifecycle_state().closes_after_response();
--- a/src/transport/clients/front.rs
+++ b/src/transport/clients/front.rs
@@ -13,6 +13,8 @@
     /// Returns the rejection for lack of capacity: of a request, which was not executed, or of a connection on which
     /// none was read.
     fn rejection(&self, request: Option<&Request>) -> Response;
+    /// Returns the final response to a request whose answer was lost to a panic. The request may have been executed.
+    fn failure(&self) -> Response;
     /// Returns the name of the caller that a request states, if the protocol has a field for it.
     fn caller<'a>(&self, request: &'a Request) -> Option<&'a str>;
     /// Returns the name of a request for the log, if the protocol has one.
--- a/src/transport/clients/mod.rs
+++ b/src/transport/clients/mod.rs
@@ -7,6 +7,7 @@
 pub mod connection_permit;
 pub mod front;
 pub mod listener;
+mod panic_guard;
 pub mod response_guard;
 mod source;
 
--- a/src/transport/clients/response_guard.rs
+++ b/src/transport/clients/response_guard.rs
@@ -21,6 +21,12 @@
         ResponseGuard { front, label, settled: false }
     }
 
+    /// The name of the request for the log.
+    #[must_use]
+    pub fn label(&self) -> &str {
+        &self.label
+    }
+
     /// Records that the response was written completely.
     pub fn mark_sent(mut self) {
         self.settled = true;
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -130,6 +130,9 @@
     fn rejection(&self, _: Option<&Request>) -> Response {
         Response::text(503, "overloaded")
     }
+    fn failure(&self) -> Response {
+        Response::text(500, "failed")
+    }
     fn caller<'a>(&self, _: &'a Request) -> Option<&'a str> {
         None
     }
--- a/tests/listener/main.rs
+++ b/tests/listener/main.rs
@@ -293,3 +293,18 @@
         );
     });
 }
+
+// Guards against a request that is read and never answered because the task that serves it panics: one answer, and the
+// connection goes on.
+#[test]
+fn a_request_on_which_the_front_panics_is_answered_as_failed() {
+    run(async {
+        let server = Server::start(64, 0).await;
+        let mut client = server.connect().await;
+        send_request(&mut client, "/panics").await;
+        let response = read_response(&mut client, "/failed").await;
+        assert!(response.starts_with("HTTP/1.1 500 "), "{response}");
+        assert_eq!(server.manager.descriptor_pool().counters.borrow().front_panicked, 1);
+        assert!(exchange(&mut client, "/next").await.starts_with("HTTP/1.1 200 "));
+    });
+}
--- a/tests/listener/server.rs
+++ b/tests/listener/server.rs
@@ -14,7 +14,8 @@
 use tokio::sync::Semaphore;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 
-/// Responds with the path of the request. Requests for `/held` first wait for a permit from the test.
+/// Responds with the path of the request. Requests for `/held` first wait for a permit from the test, and the front
+/// panics on those for `/panics`.
 struct Echo {
     held_requests: Rc<Semaphore>,
 }
@@ -24,6 +25,7 @@
         match request.path.as_str() {
             "/held" => drop(self.held_requests.acquire().await),
             "/malformed" => return Response::text(400, "malformed"),
+            "/panics" => panic!("the front fails on purpose"),
             _ => {}
         }
         Response::text(200, request.path)
@@ -34,6 +36,9 @@
     fn rejection(&self, _: Option<&Request>) -> Response {
         Response::text(503, "overloaded").with_header("Retry-After", "1")
     }
+    fn failure(&self) -> Response {
+        Response::text(500, "/failed")
+    }
     fn caller<'a>(&self, request: &'a Request) -> Option<&'a str> {
         request.headers.get("X-Caller")
     }
