Limit the write of a keyed attempt by other attempts of its part alone

Cause: started the window of a part with the first write of any attempt, the waiting attempt's own included, and set an attempt's write deadline once. Two attempts were lost by that: one whose frame is written in pieces where the window is 0 or shorter than the write, and one that waits beside a retry which the worker rejected, as the deadline of a retry that is proven not to have run stayed.

Change: an attempt has to be written within the window after the first write of any OTHER attempt that may run, which still bounds any two by one window. The deadlines of a part are set anew whenever a write begins, an attempt is sent, or one is proven not to have run. The rest of a partly written frame is checked again at each try. A connection to an index server that was removed is not kept.

--- a/src/routing/broker.rs
+++ b/src/routing/broker.rs
@@ -120,15 +120,13 @@
     /// last byte has to be written, if there is one.
     ///
     /// # Errors
-    /// The attempt may not be written. The transport drops it and reports it as not sent.
+    /// The attempt may not be written. The transport drops it, if no byte of it is written, and reports it as not sent.
     pub fn begin_write(&self, attempt_id: AttemptId) -> Result<Option<Instant>, WriteRefused> {
-        let permit = self.0.core.borrow_mut().begin_write(self.0.clock.now(), attempt_id)?;
-        let deadline = permit.deadline().map(|at| self.0.clock.instant_of(at));
-        if deadline.is_some() {
-            // The deadline may be the earliest thing that is due.
+        let begun = self.0.core.borrow_mut().begin_write(self.0.clock.now(), attempt_id)?;
+        if begun.sets_deadline {
             self.0.wake_up.notify_one();
         }
-        Ok(deadline)
+        Ok(begun.permit.deadline().map(|at| self.0.clock.instant_of(at)))
     }
 
     /// Reports to the core that the last bytes of these attempts were written at `written_at`.
--- a/src/routing/core.rs
+++ b/src/routing/core.rs
@@ -252,6 +252,9 @@
                 part.value.get_or_insert(value);
             }
         }
+        if outcome.proves_unrun() {
+            self.limit_writes(now, attempt_id.part);
+        }
         self.pending_events.push(Event::AttemptFinished(AttemptResult {
             id: attempt_id.part,
             attempt: attempt_id.attempt,
--- a/src/routing/core/dispatch.rs
+++ b/src/routing/core/dispatch.rs
@@ -79,7 +79,7 @@
         let (payload, at_most_once) = (query.payload.clone(), query.at_most_once);
         self.count_retry(attempt_id);
         self.in_flight.insert(attempt_id, SentAttempt::new(worker, now, permit.deadline()));
-        self.limit_writes(id);
+        self.limit_writes(now, id);
         calls.add(worker, Dispatch { attempt_id, label, shard, payload, at_most_once, permit });
     }
 
--- a/src/routing/in_flight.rs
+++ b/src/routing/in_flight.rs
@@ -13,8 +13,10 @@
     pub sent_at: Time,
     /// Time from which the attempt counts as timed out.
     pub deadline: Time,
+    /// Whether the last byte of the attempt is written.
+    pub written: bool,
     /// Time from which the attempt may not be written any more: the end of its part's repeat window. `None` while
-    /// there is no limit, and once the attempt is written.
+    /// there is no limit.
     pub write_deadline: Option<Time>,
     /// Whether the transport was instructed to take the attempt back, because its write deadline has passed.
     pub withdrawn: bool,
@@ -23,12 +25,12 @@
 impl SentAttempt {
     /// Creates an attempt without a write deadline.
     pub fn new(worker: WorkerId, sent_at: Time, deadline: Time) -> SentAttempt {
-        SentAttempt { worker, sent_at, deadline, write_deadline: None, withdrawn: false }
+        SentAttempt { worker, sent_at, deadline, written: false, write_deadline: None, withdrawn: false }
     }
 
     /// Returns the time at which the transport is to take the attempt back, unless it was instructed already.
     fn withdraw_at(&self) -> Option<Time> {
-        self.write_deadline.filter(|_| !self.withdrawn)
+        self.write_deadline.filter(|_| !self.written && !self.withdrawn)
     }
 
     /// Returns when the attempt times out or is to be taken back, whichever is earlier.
@@ -73,17 +75,24 @@
         self.0.contains_key(&attempt_id)
     }
 
-    /// Sets the write deadline of all attempts of one part that have none yet.
-    pub fn limit_writes_of_part(&mut self, part: RequestId, write_deadline: Time) {
-        for (_, sent) in self.0.range_mut(attempt_range(part)) {
-            sent.write_deadline.get_or_insert(write_deadline);
+    /// Sets the write deadline of each attempt of one part. Returns whether one that is not written has a deadline.
+    pub fn limit_writes_of_part(
+        &mut self,
+        part: RequestId,
+        write_deadline: impl Fn(AttemptNo) -> Option<Time>,
+    ) -> bool {
+        let mut limited = false;
+        for (attempt_id, sent) in self.0.range_mut(attempt_range(part)) {
+            sent.write_deadline = write_deadline(attempt_id.attempt);
+            limited |= sent.withdraw_at().is_some();
         }
+        limited
     }
 
-    /// Removes the write deadline of an attempt that is written.
-    pub fn clear_write_deadline(&mut self, attempt_id: AttemptId) {
+    /// Records that the last byte of an attempt is written.
+    pub fn mark_written(&mut self, attempt_id: AttemptId) {
         if let Some(sent) = self.0.get_mut(&attempt_id) {
-            sent.write_deadline = None;
+            sent.written = true;
         }
     }
 
--- a/src/routing/open_queries.rs
+++ b/src/routing/open_queries.rs
@@ -74,9 +74,10 @@
         self.possible_runs.values().map(|run| run.sent_at).min()
     }
 
-    /// Returns when the first write of an attempt that may run began.
-    pub fn first_write_at(&self) -> Option<Time> {
-        self.possible_runs.values().filter_map(|run| run.write_began_at).min()
+    /// Returns when the first write began of an attempt that may run, other than this one.
+    pub fn first_other_write_at(&self, attempt: AttemptNo) -> Option<Time> {
+        let others = self.possible_runs.iter().filter(|(number, _)| **number != attempt);
+        others.filter_map(|(_, run)| run.write_began_at).min()
     }
 }
 
--- a/src/transport/index_servers.rs
+++ b/src/transport/index_servers.rs
@@ -140,7 +140,9 @@
         // The server may have been removed, or the repeat window may have ended, while the connection was opened.
         let permit = self.0.broker.begin_write(part.attempt_id).ok();
         let Some(write_deadline) = permit.filter(|_| server.accepts_searches.get()) else {
-            self.keep_idle(server, connection);
+            if server.accepts_searches.get() {
+                self.keep_idle(server, connection);
+            }
             return AttemptCompletion::without_value(AttemptOutcome::NotSent);
         };
         self.mark_write_began(part.attempt_id);
--- a/src/transport/workers/connection.rs
+++ b/src/transport/workers/connection.rs
@@ -122,7 +122,7 @@
                 earliest = earliest.into_iter().chain(deadline).min();
                 false
             }
-            Err(WriteRefused) => true,
+            Err(_) => true,
         });
         self.write_deadline = earliest;
         refused
@@ -275,6 +275,18 @@
         attempts
     }
 
+    /// Whether the rest of the next frame may not be written any more: the time limit of partly written frames is over,
+    /// or the repeat window of a part has ended. A part that nobody waits for any longer does not hold the rest back.
+    pub fn is_remainder_overdue(
+        &self,
+        mut begin_write: impl FnMut(AttemptId) -> Result<Option<Instant>, WriteRefused>,
+    ) -> bool {
+        let frames = self.frames.borrow();
+        let Some(frame) = frames.front().filter(|frame| frame.is_partly_written()) else { return false };
+        frame.write_deadline.is_some_and(|deadline| deadline <= Instant::now())
+            || frame.parts.iter().any(|part| begin_write(part.attempt_id) == Err(WriteRefused::WindowEnded))
+    }
+
     /// Records that all of the next frame but `remainder` was written. Returns the attempts whose frame is complete with
     /// that.
     pub fn mark_written(&self, remainder: Bytes) -> Vec<AttemptId> {
--- a/src/transport/workers/session.rs
+++ b/src/transport/workers/session.rs
@@ -137,8 +137,8 @@
     NoFrame,
 }
 
-/// Writes as much of the next frame as the socket accepts. Until the first byte is
-/// accepted, each try encodes the frame again, since the time left that it states goes down while the socket is full.
+/// Writes as much of the next frame as the socket accepts. Until the first byte is accepted, each try encodes the frame
+/// again, since the time left that it states goes down while the socket is full.
 async fn write_next(
     write: &mut WriteHalf<Box<dyn Stream>>,
     connection: &Connection,
@@ -152,7 +152,7 @@
         if !connection.has_frame() {
             return Poll::Ready(Ok(WriteProgress::NoFrame));
         }
-        if is_past(connection.partial_write_deadline()) {
+        if connection.is_remainder_overdue(|attempt_id| broker.begin_write(attempt_id)) {
             return Poll::Ready(Ok(WriteProgress::Overdue));
         }
         let at = broker.now();
@@ -167,10 +167,6 @@
     .await
 }
 
-fn is_past(deadline: Option<Instant>) -> bool {
-    deadline.is_some_and(|deadline| deadline <= Instant::now())
-}
-
 /// An event that a session handles.
 enum SessionEvent {
     Read(io::Result<usize>),
