--- a/review/common-2/standin.py
+++ b/review/common-2/standin.py
@@ -1,4 +1,4 @@
-"""Stand-ins for clients, index servers, workers and discovery, and the start and end of the program's own processes.
+"""Stand-ins for clients and index servers, and the start and end of the program's own processes.
 
 Only the standard library is used. All addresses are loopback addresses, all ports are free ones, and all files lie in a
 temporary folder that is removed at the end.
@@ -87,16 +87,6 @@
             time.sleep(0.05)
         raise CannotRun("the gatherer did not become healthy")
 
-    def program(self, arguments, name):
-        """Starts a stand-in of this folder as a process of its own."""
-        log = open(os.path.join(self.folder, f"{name}.log"), "ab")
-        command = [sys.executable, "-B", os.path.join(HERE, arguments[0]), *arguments[1:]]
-        process = subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
-        log.close()
-        self.processes.append(process)
-        self.record.add("case", f"started {name}, process {process.pid}")
-        return process
-
     def end(self):
         """Ends all processes that the case started, and adds the ends of their logs to the record."""
         for process in self.processes:
