Hold hits as the text that servers sent, and bound results and responses by memory

Cause: merged hits were trees of JSON values, of which a small object takes over 600 bytes, and were counted as twice their text. Each shard's result became such a tree twice, to check and to merge it. No limit bounded results in flight and responses that clients do not read together.

Change: hits stay text, in one buffer whose allocation is what is counted; a plain search encodes its page alone. Results are counted from their read to the drop of their last owner, and responses until they are written, against a quarter of memory_mb: where it is full, the oldest read goes on alone, and new searches and pages get 429 with nothing run. Stored results and recorded responses keep to an eighth and a sixteenth of memory_mb, where their fixed limits are larger.

--- a/src/fronts/opensearch.rs
+++ b/src/fronts/opensearch.rs
@@ -9,7 +9,7 @@
 use super::counters_text;
 use crate::policy::{ClassId, Idempotency, ShardId, TenantId};
 use crate::protocol::http::{MalformedMessage, Request, Response};
-use crate::protocol::opensearch::{self, JsonObject, MergedResult, Search, SearchError};
+use crate::protocol::opensearch::{self, JsonObject, MergedResult, PageInfo, Search, SearchError};
 use crate::routing::idempotency::{Execution, IdempotencyLimits, IdempotencyStore};
 use crate::routing::scroll_contexts::ScrollContexts;
 use crate::routing::{Broker, Clock, Invariant, QueryOutcome, QueryPart, Rejection, SearchRequest};
@@ -18,18 +18,26 @@
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::ops::Range;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Limits of issued idempotency keys and of the responses recorded for them.
-const IDEMPOTENCY_LIMITS: IdempotencyLimits =
-    IdempotencyLimits { max_keys: 4096, max_bytes: 16 << 20, retention: Duration::from_secs(600) };
+/// Largest number of idempotency keys.
+const MAX_KEYS: usize = 4096;
+/// Largest total size of the responses recorded for idempotency keys, in bytes.
+const MAX_RECORDED_BYTES: usize = 16 << 20;
+/// Time for which an idempotency key is held.
+const KEY_RETENTION: Duration = Duration::from_secs(600);
 /// Largest number of results stored for scrolling.
 const MAX_SCROLLS: usize = 256;
 /// Largest total size of the results stored for scrolling, in bytes.
 const MAX_SCROLL_BYTES: usize = 32 << 20;
+/// Share of the memory of results that recorded responses may take beside it, as a divisor.
+const RECORDED_DIVISOR: usize = 4;
+/// Share of the memory of results that results stored for scrolling may take beside it, as a divisor.
+const SCROLL_DIVISOR: usize = 2;
 /// Longest time for which a result is stored for scrolling.
 const MAX_SCROLL_LIFETIME: Duration = Duration::from_secs(300);
 
@@ -86,8 +94,15 @@
         seed: u64,
     ) -> Rc<Self> {
         let mut random = fastrand::Rng::with_seed(seed);
-        let scrolls = RefCell::new(ScrollContexts::new(random.fork(), MAX_SCROLLS, MAX_SCROLL_BYTES));
-        let idempotency = RefCell::new(IdempotencyStore::new(incarnation, random, IDEMPOTENCY_LIMITS));
+        let result_bytes = connections.descriptor_pool().result_memory().total();
+        let max_scroll_bytes = MAX_SCROLL_BYTES.min(result_bytes / SCROLL_DIVISOR);
+        let scrolls = RefCell::new(ScrollContexts::new(random.fork(), MAX_SCROLLS, max_scroll_bytes));
+        let idempotency_limits = IdempotencyLimits {
+            max_keys: MAX_KEYS,
+            max_bytes: MAX_RECORDED_BYTES.min(result_bytes / RECORDED_DIVISOR),
+            retention: KEY_RETENTION,
+        };
+        let idempotency = RefCell::new(IdempotencyStore::new(incarnation, random, idempotency_limits));
         Rc::new(OpenSearchFront { broker, clock, connections, mapping, idempotency, scrolls })
     }
 
@@ -96,12 +111,34 @@
         if valid_search.at_most_once {
             return self.search_at_most_once(valid_search, request.headers.get("Idempotency-Key")).await;
         }
-        if self.connections.lifecycle_state().is_stopping() {
-            return Ok(self.reject_stopping(&valid_search.search_request));
+        if let Some(rejection) = self.rejects_new(&valid_search.search_request) {
+            return Ok(rejection);
         }
         Ok(self.execute(valid_search).await.0)
     }
 
+    /// Returns the rejection of a search that may not begin now, because the gatherer is stopping or holds as many
+    /// results as it may. Counts the search as rejected.
+    fn rejects_new(&self, search_request: &SearchRequest) -> Option<Response> {
+        if self.connections.lifecycle_state().is_stopping() {
+            return Some(self.reject_stopping(search_request));
+        }
+        self.is_memory_full().then(|| {
+            self.broker.with_core(|core| core.reject_overloaded(search_request.class));
+            self.capacity_rejection()
+        })
+    }
+
+    /// Whether the results and responses in flight take as much memory as they may.
+    fn is_memory_full(&self) -> bool {
+        self.connections.descriptor_pool().result_memory().is_full()
+    }
+
+    fn capacity_rejection(&self) -> Response {
+        let retry_after = self.broker.with_core(|core| core.contracts().settings.max_retry_after);
+        opensearch::rejection_response(Rejection::AtCapacity, retry_after)
+    }
+
     /// Counts a search that is rejected because the gatherer is stopping, and returns the response.
     fn reject_stopping(&self, search_request: &SearchRequest) -> Response {
         self.broker.with_core(|core| core.reject_stopping(search_request.class, search_request.tenant));
@@ -139,34 +176,34 @@
         shards: usize,
         responded: usize,
     ) -> Result<Response, SearchError> {
-        let end = merged.hits.len().min(search.from + search.size);
-        let mut page = merged.page(&merged.hits[search.from.min(end)..end], took, shards, responded);
-        if let Some(lifetime) = search.scroll {
-            if !merged.complete || responded < shards {
-                return Err(SearchError::illegal_argument(format!(
-                    "a shard has more than [{}] hits, too many to be held for paging: narrow the search",
-                    self.mapping.window
-                )));
-            }
-            let bytes = merged.hits.iter().map(|hit| hit.to_string().len()).sum::<usize>() * 2;
-            let scroll = ScrollResult { merged, size: search.size, shards };
-            let stored = self.scrolls.borrow_mut().create(
-                self.clock.now(),
-                owner,
-                lifetime.min(MAX_SCROLL_LIFETIME),
-                scroll,
-                bytes,
-            );
-            let context_id = stored
-                .map_err(|full| SearchError::new(429, "rejected_execution_exception", full.to_string()))?;
-            page["_scroll_id"] = json!(format!("{context_id}-{end}"));
+        let mut info = PageInfo { took, shards, responded, scroll_id: None };
+        let Some(lifetime) = search.scroll else {
+            return page_response(&merged, 0..merged.hits.len(), &info);
+        };
+        if !merged.complete || responded < shards {
+            return Err(SearchError::illegal_argument(format!(
+                "a shard has more than [{}] hits, too many to be held for paging: narrow the search",
+                self.mapping.window
+            )));
         }
-        Ok(Response::json(200, page.to_string()))
+        let end = merged.hits.len().min(search.size);
+        let bytes = merged.hits.held_bytes();
+        let scroll = ScrollResult { merged, size: search.size, shards };
+        let (context_id, scroll) = self
+            .scrolls
+            .borrow_mut()
+            .create(self.clock.now(), owner, lifetime.min(MAX_SCROLL_LIFETIME), scroll, bytes)
+            .map_err(|full| SearchError::new(429, "rejected_execution_exception", full.to_string()))?;
+        info.scroll_id = Some(format!("{context_id}-{end}"));
+        page_response(&scroll.merged, 0..end, &info)
     }
 
     /// Returns a further page. A scroll id contains the offset of its page, so that a retry returns the same page.
     fn scroll(&self, request: &Request) -> Result<Response, SearchError> {
         let (owner, _) = self.identify_caller(request)?;
+        if self.is_memory_full() {
+            return Ok(self.capacity_rejection());
+        }
         let body = JsonObject::parse(&request.body)?;
         let id = body
             .get::<String>("scroll_id")
@@ -193,10 +230,16 @@
             self.scrolls.borrow_mut().get(now, context_id, &owner, lifetime).ok_or_else(context_missing)?;
         let hits = &scroll.merged.hits;
         let end = offset.saturating_add(scroll.size).min(hits.len());
-        let page = hits.get(offset..end).ok_or_else(context_missing)?;
-        let mut page = scroll.merged.page(page, Duration::ZERO, scroll.shards, scroll.shards);
-        page["_scroll_id"] = json!(format!("{context_id}-{end}"));
-        Ok(Response::json(200, page.to_string()))
+        if offset > end {
+            return Err(context_missing());
+        }
+        let info = PageInfo {
+            took: Duration::ZERO,
+            shards: scroll.shards,
+            responded: scroll.shards,
+            scroll_id: Some(format!("{context_id}-{end}")),
+        };
+        page_response(&scroll.merged, offset..end, &info)
     }
 
     /// Drops the stored results of the given scroll ids.
@@ -301,6 +344,16 @@
     }
 }
 
+/// Encodes the response with one page of a result.
+fn page_response(
+    merged: &MergedResult,
+    hits: Range<usize>,
+    info: &PageInfo,
+) -> Result<Response, SearchError> {
+    let page = merged.page(hits, info).ok_or_else(failed_search)?;
+    Ok(Response::json(200, page))
+}
+
 /// The error for a search that was not served, and may have run.
 fn failed_search() -> SearchError {
     SearchError::new(500, "search_phase_execution_exception", "not served; it may have run in part")
@@ -308,10 +361,12 @@
 
 impl Front for Rc<OpenSearchFront> {
     async fn respond(&self, request: Request) -> Response {
-        self.route(&request).await.unwrap_or_else(|error| {
+        let response = self.route(&request).await.unwrap_or_else(|error| {
             self.broker.with_core(|core| core.counters.malformed += 1);
             error.response()
-        })
+        });
+        let body = self.connections.descriptor_pool().result_memory().count_response(response.body);
+        Response { body, ..response }
     }
 
     fn forwards(&self, request: &Request) -> bool {
@@ -324,8 +379,7 @@
     }
 
     fn rejection(&self, _: Option<&Request>) -> Response {
-        let retry_after = self.broker.with_core(|core| core.contracts().settings.max_retry_after);
-        opensearch::rejection_response(Rejection::AtCapacity, retry_after)
+        self.capacity_rejection()
     }
 
     fn failure(&self) -> Response {
--- a/src/fronts/opensearch/at_most_once.rs
+++ b/src/fronts/opensearch/at_most_once.rs
@@ -2,7 +2,7 @@
 //! key, and retries with the key get the cached response. A key that this incarnation does not hold is rejected,
 //! because its search may have run.
 
-use super::{IDEMPOTENCY_LIMITS, OpenSearchFront, ValidSearch};
+use super::{KEY_RETENTION, OpenSearchFront, ValidSearch};
 use crate::protocol::http::{Request, Response};
 use crate::protocol::opensearch::SearchError;
 use crate::routing::idempotency::{Execution, KeyClaim};
@@ -28,19 +28,12 @@
         let ValidSearch { owner, request_digest, .. } = &valid_search;
         let claim = self.idempotency.borrow_mut().claim(now, key, owner, *request_digest);
         let mut outcome_receiver = match claim {
-            KeyClaim::Run(_) if self.connections.lifecycle_state().is_stopping() => {
-                // No search starts during a shutdown. Retries of a search that ran still get its response.
-                let rejection = self.reject_stopping(&valid_search.search_request);
-                self.idempotency.borrow_mut().finish(
-                    self.clock.now(),
-                    key,
-                    rejection.clone(),
-                    0,
-                    Execution::NotExecuted,
-                );
-                return Ok(rejection);
-            }
             KeyClaim::Run(receiver) => {
+                // Retries of a search that ran still get its response.
+                if let Some(rejection) = self.rejects_new(&valid_search.search_request) {
+                    self.finish(key, rejection.clone(), Execution::NotExecuted);
+                    return Ok(rejection);
+                }
                 self.spawn_search(valid_search, key);
                 receiver
             }
@@ -62,11 +55,16 @@
             // A `JoinError` here means that the task panicked; the panic hook has printed the panic already.
             let (response, execution) =
                 run.unwrap_or_else(|_| (lost_outcome_error().response(), Execution::MayHaveRun));
-            let size = response.body.len();
-            front.idempotency.borrow_mut().finish(front.clock.now(), &key, response, size, execution);
+            front.finish(&key, response, execution);
         });
     }
 
+    /// Ends the run of a key: joined requests get the response, which is cached if the search may have run.
+    fn finish(&self, key: &str, response: Response, execution: Execution) {
+        let size = response.body.len();
+        self.idempotency.borrow_mut().finish(self.clock.now(), key, response, size, execution);
+    }
+
     /// The error for a key that this incarnation never issued, or no longer holds.
     fn unknown_key_error(&self, key: &str) -> SearchError {
         let incarnation = self.idempotency.borrow().incarnation().to_owned();
@@ -83,7 +81,7 @@
         let (owner, _) = self.identify_caller(request)?;
         match self.idempotency.borrow_mut().issue(self.clock.now(), &owner) {
             Ok(key) => {
-                let expires_in_ms = IDEMPOTENCY_LIMITS.retention.as_millis() as u64;
+                let expires_in_ms = KEY_RETENTION.as_millis() as u64;
                 Ok(Response::json(200, json!({"key": key, "expires_in_ms": expires_in_ms}).to_string()))
             }
             Err(full) => {
--- a/src/protocol/http/body.rs
+++ b/src/protocol/http/body.rs
@@ -125,7 +125,8 @@
             if size == 0 {
                 let trailer_bytes = self.trailer_length(rest)?;
                 return Ok(trailer_bytes.map(|bytes| DecodedBody {
-                    body: std::mem::take(&mut self.body).freeze(),
+                    // Copied, so that the body takes no more memory than its length.
+                    body: Bytes::copy_from_slice(&std::mem::take(&mut self.body)),
                     encoded_bytes: self.offset + bytes,
                 }));
             }
--- a/src/protocol/opensearch/json_object.rs
+++ b/src/protocol/opensearch/json_object.rs
@@ -53,18 +53,27 @@
         let mut all: BTreeMap<&str, &str> =
             self.0.iter().map(|(name, value)| (name.as_str(), value.get())).collect();
         all.extend(members.iter().map(|(name, value)| (*name, value.as_str())));
-        let mut text = String::from("{");
-        for (name, value) in all {
-            if text.len() > 1 {
-                text.push(',');
-            }
-            text.push_str(&serde_json::Value::from(name).to_string());
-            text.push(':');
-            text.push_str(value);
+        encode_members(all.iter().map(|(name, value)| (*name, *value))).into_bytes()
+    }
+}
+
+/// Encodes an object of these members, each with its value as JSON text.
+pub(super) fn encode_members<'a>(members: impl Iterator<Item = (&'a str, &'a str)> + Clone) -> String {
+    /// Bytes of a member besides its name and value: quotes, colon and comma.
+    const PUNCTUATION_BYTES: usize = 4;
+    let member_bytes = members.clone().map(|(name, value)| name.len() + value.len() + PUNCTUATION_BYTES);
+    let mut text = String::with_capacity(member_bytes.sum::<usize>() + 2);
+    text.push('{');
+    for (name, value) in members {
+        if text.len() > 1 {
+            text.push(',');
         }
-        text.push('}');
-        text.into_bytes()
+        text.push_str(&serde_json::Value::from(name).to_string());
+        text.push(':');
+        text.push_str(value);
     }
+    text.push('}');
+    text
 }
 
 /// Checks how deeply arrays and objects are nested. Text that is not valid JSON may pass.
--- a/src/protocol/opensearch/merge.rs
+++ b/src/protocol/opensearch/merge.rs
@@ -1,87 +1,21 @@
-//! Decodes the results of shards and merges them into one order. Results that timed out, failed in part, or have hits
-//! without valid sort values are rejected.
+//! Merges the results of shards into one order, and encodes pages of the merged result.
 
+use super::hit::Hit;
+use super::hit_list::HitList;
+use super::json_object::encode_members;
 use super::search::{Search, SortKey};
-use super::sort_value::{SortValue, are_of_one_kind};
-use serde::Deserialize;
-use serde_json::{Value, json};
+use super::shard_result::ShardResult;
+use super::sort_value::{Kind, SortValue};
+use serde_json::json;
 use std::cmp::Ordering;
+use std::ops::Range;
 use std::time::Duration;
 
-#[derive(Deserialize)]
-struct ShardResult {
-    #[serde(default)]
-    timed_out: bool,
-    #[serde(default, rename = "_shards")]
-    shards: ShardCount,
-    hits: ShardHits,
-}
-
-#[derive(Default, Deserialize)]
-struct ShardCount {
-    #[serde(default)]
-    failed: u64,
-}
-
-#[derive(Deserialize)]
-struct ShardHits {
-    total: Option<Total>,
-    max_score: Option<f64>,
-    hits: Vec<Value>,
-}
-
-#[derive(Deserialize)]
-struct Total {
-    value: u64,
-    relation: String,
-}
-
-impl ShardHits {
-    /// Whether the shard sent all its hits: it reports an exact total, which is the number of hits sent.
-    fn is_complete(&self) -> bool {
-        self.total.as_ref().is_some_and(|total| total.is_exact() && total.value == self.hits.len() as u64)
-    }
-}
-
-impl Total {
-    /// Whether the total is exact; otherwise it is a lower bound.
-    fn is_exact(&self) -> bool {
-        self.relation == "eq"
-    }
-}
-
-/// Decodes the response of a shard; `None` if it timed out or failed in part, or if its hits have no valid sort values.
-fn decode_complete_result(body: &[u8]) -> Option<ShardResult> {
-    let result: ShardResult = serde_json::from_slice(body).ok()?;
-    let is_complete = !result.timed_out && result.shards.failed == 0;
-    (is_complete && has_valid_sort_values(&result.hits.hits)).then_some(result)
-}
-
-/// Whether all hits have the same number of sort values, and the values of each key are of one kind.
-fn has_valid_sort_values(hits: &[Value]) -> bool {
-    let Some(rows) = hits.iter().map(sort_values).collect::<Option<Vec<_>>>() else { return false };
-    let keys = rows.first().map_or(0, |row| row.len());
-    rows.iter().all(|row| row.len() == keys)
-        && (0..keys).all(|key| are_of_one_kind(rows.iter().map(|row| &row[key])))
-}
-
-/// Returns the sort values of a hit as the server sent them.
-fn sort_values(hit: &Value) -> Option<&Vec<Value>> {
-    hit.get("sort")?.as_array()
-}
-
-/// Whether the body of an index server's response is an acceptable result: it neither timed out nor failed in part, and
-/// its hits have valid sort values.
-#[must_use]
-pub fn is_acceptable_result(body: &[u8]) -> bool {
-    decode_complete_result(body).is_some()
-}
-
 /// The hits of several shards in one order.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MergedResult {
-    /// Hits as they are sent to clients.
-    pub hits: Vec<Value>,
+    /// Hits as they are sent to clients: those of the page, or all of them where the search is a scroll.
+    pub hits: HitList,
     /// Whether every shard sent all its hits.
     pub complete: bool,
     total: u64,
@@ -90,87 +24,114 @@
     max_score: Option<f64>,
 }
 
-/// A hit with the values by which it is sorted.
-struct SortedHit {
-    sort_values: Vec<SortValue>,
+/// A hit with its shard.
+struct HitOfShard<'a> {
     shard: u32,
-    hit: Value,
+    hit: Hit<'a>,
+}
+
+/// How the values of one sort key are compared.
+struct KeyOrder<'s> {
+    key: &'s SortKey,
+    kind: Kind,
+}
+
+impl KeyOrder<'_> {
+    /// Compares two values. Missing ones come first or last, whatever the direction.
+    fn compare(&self, a: &SortValue<'_>, b: &SortValue<'_>) -> Ordering {
+        let missing_order = if self.key.missing_first { Ordering::Less } else { Ordering::Greater };
+        match (a, b) {
+            (SortValue::Missing, SortValue::Missing) => Ordering::Equal,
+            (SortValue::Missing, _) => missing_order,
+            (_, SortValue::Missing) => missing_order.reverse(),
+            (a, b) if self.key.descending => a.compare_present(b, self.kind).reverse(),
+            (a, b) => a.compare_present(b, self.kind),
+        }
+    }
 }
 
-impl SortedHit {
+impl HitOfShard<'_> {
     /// Compares two hits by each sort key in turn, then by shard.
-    fn compare(&self, other: &SortedHit, keys: &[SortKey]) -> Ordering {
-        let values = self.sort_values.iter().zip(&other.sort_values);
-        let by_keys =
-            values.zip(keys).map(|((own, other), key)| own.compare(other, key.descending, key.missing_first));
+    fn compare(&self, other: &HitOfShard<'_>, keys: &[KeyOrder<'_>]) -> Ordering {
+        let values = self.hit.sort_values.iter().zip(&other.hit.sort_values);
+        let by_keys = keys.iter().zip(values).map(|(key, (own, other))| key.compare(own, other));
         by_keys.fold(Ordering::Equal, Ordering::then).then(self.shard.cmp(&other.shard))
     }
 }
 
-/// Returns a sort value of a hit as the server sent it, by the number of its key.
-fn sort_value(hit: &Value, key: usize) -> Option<&Value> {
-    sort_values(hit)?.get(key)
-}
-
-/// Reads the sort values of all hits, given with their shards. Each hit gets a value for every key.
-fn read_sort_values(hits: Vec<(u32, Value)>, keys: usize) -> Vec<SortedHit> {
-    let is_numeric = |key| hits.iter().any(|(_, hit)| sort_value(hit, key).is_some_and(Value::is_number));
-    let numeric_keys: Vec<bool> = (0..keys).map(is_numeric).collect();
-    let sorted_hits = hits.into_iter().map(|(shard, hit)| {
-        let values = numeric_keys.iter().enumerate().map(|(key, is_numeric)| {
-            SortValue::new(sort_value(&hit, key).unwrap_or(&Value::Null), *is_numeric)
-        });
-        SortedHit { sort_values: values.collect(), shard, hit }
+/// Determines how the values of each sort key are compared.
+fn key_orders<'s>(search: &'s Search, hits: &[HitOfShard<'_>]) -> Vec<KeyOrder<'s>> {
+    let keys = search.sort_keys.iter().enumerate();
+    let orders = keys.map(|(position, key)| {
+        let values = hits.iter().filter_map(move |hit| hit.hit.sort_values.get(position));
+        // Values of several kinds are compared as numbers, and those that are none are equal.
+        KeyOrder { key, kind: Kind::of(values).unwrap_or(Kind::Number) }
     });
-    sorted_hits.collect()
-}
-
-/// Removes the sort values that the client did not request.
-fn truncate_sort_values(hit: &mut Value, requested: usize) {
-    let Some(fields) = hit.as_object_mut() else { return };
-    if requested == 0 {
-        fields.remove("sort");
-    } else if let Some(values) = fields.get_mut("sort").and_then(Value::as_array_mut) {
-        values.truncate(requested);
-    }
+    orders.collect()
 }
 
 /// Merges the results of shards, each given with the shard's number. Results that are rejected are left out.
 #[must_use]
 pub fn merge_results<'a>(search: &Search, results: impl Iterator<Item = (u32, &'a [u8])>) -> MergedResult {
     let mut merged = MergedResult { complete: true, total_is_exact: true, ..MergedResult::default() };
-    let mut hits_of_shards: Vec<(u32, Value)> = Vec::new();
+    let mut hits: Vec<HitOfShard<'a>> = Vec::new();
     for (shard, body) in results {
-        let Some(result) = decode_complete_result(body) else { continue };
-        let hits = result.hits;
-        // Without a total, the number of hits sent is a lower bound.
-        let total = hits.total.as_ref().map_or(hits.hits.len() as u64, |total| total.value);
-        merged.total = merged.total.saturating_add(total);
-        merged.total_is_exact &= hits.total.as_ref().is_some_and(Total::is_exact);
-        merged.complete &= hits.is_complete();
-        merged.max_score = [merged.max_score, hits.max_score].into_iter().flatten().reduce(f64::max);
-        hits_of_shards.extend(hits.hits.into_iter().map(|hit| (shard, hit)));
+        let Some(result) = ShardResult::decode(body) else { continue };
+        merged.total = merged.total.saturating_add(result.total);
+        merged.total_is_exact &= result.total_is_exact;
+        merged.complete &= result.has_all_hits();
+        merged.max_score = [merged.max_score, result.max_score].into_iter().flatten().reduce(f64::max);
+        hits.extend(result.hits.into_iter().map(|hit| HitOfShard { shard, hit }));
     }
-    let mut sorted_hits = read_sort_values(hits_of_shards, search.sort_keys.len());
-    sorted_hits.sort_by(|a, b| a.compare(b, &search.sort_keys));
-    merged.hits = sorted_hits.into_iter().map(|sorted| sorted.hit).collect();
-    merged.hits.iter_mut().for_each(|hit| truncate_sort_values(hit, search.requested_sort_values));
+    let keys = key_orders(search, &hits);
+    hits.sort_by(|a, b| a.compare(b, &keys));
+    let range = search.merged_range(hits.len());
+    merged.hits = encode_hits(hits[range].iter().map(|hit| &hit.hit), search.requested_sort_values);
     merged
 }
 
+/// Encodes hits with their first `requested` sort values.
+fn encode_hits<'m, 'a: 'm>(
+    hits: impl ExactSizeIterator<Item = &'m Hit<'a>> + Clone,
+    requested: usize,
+) -> HitList {
+    let mut list = HitList::with_capacity(hits.len(), hits.clone().map(Hit::text_bytes).sum());
+    hits.for_each(|hit| list.push(&hit.encode(requested)));
+    list.shrink_to_fit();
+    list
+}
+
+/// What the response with a page says beside its hits.
+#[derive(Clone, Debug)]
+pub struct PageInfo {
+    /// Time that the search took.
+    pub took: Duration,
+    /// Number of shards that were searched.
+    pub shards: usize,
+    /// Number of shards that sent a result.
+    pub responded: usize,
+    /// Id of the next page, if the search is a scroll.
+    pub scroll_id: Option<String>,
+}
+
 impl MergedResult {
-    /// Builds the response body with one page of hits. Of the `shards` that were searched, `responded` sent a result.
+    /// Encodes the response with one page of hits; `None` if the range exceeds the hits.
     #[must_use]
-    pub fn page(&self, hits: &[Value], took: Duration, shards: usize, responded: usize) -> Value {
-        json!({
-            "took": took.as_millis() as u64,
-            "timed_out": responded < shards,
-            "_shards": {"total": shards, "successful": responded, "skipped": 0, "failed": shards - responded},
-            "hits": {
-                "total": {"value": self.total, "relation": if self.total_is_exact { "eq" } else { "gte" }},
-                "max_score": self.max_score,
-                "hits": hits,
-            },
-        })
+    pub fn page(&self, range: Range<usize>, info: &PageInfo) -> Option<String> {
+        let PageInfo { took, shards, responded, scroll_id } = info;
+        let hits = format!("[{}]", self.hits.page(range)?);
+        let max_score = json!(self.max_score).to_string();
+        let relation = if self.total_is_exact { "eq" } else { "gte" };
+        let total = json!({"value": self.total, "relation": relation}).to_string();
+        let hits =
+            encode_members([("hits", &*hits), ("max_score", &*max_score), ("total", &*total)].into_iter());
+        let counts =
+            json!({"total": shards, "successful": responded, "skipped": 0, "failed": shards - responded});
+        let scroll_id = scroll_id.as_ref().map(|id| json!(id).to_string());
+        let (counts, timed_out) = (counts.to_string(), json!(responded < shards).to_string());
+        let took = json!(took.as_millis() as u64).to_string();
+        let members = [("_shards", &*counts), ("hits", &*hits), ("timed_out", &*timed_out), ("took", &*took)];
+        let scroll_id = scroll_id.iter().map(|id| ("_scroll_id", &**id));
+        Some(encode_members(scroll_id.chain(members)))
     }
 }
--- a/src/protocol/opensearch/mod.rs
+++ b/src/protocol/opensearch/mod.rs
@@ -4,14 +4,19 @@
 //! The module owns the format of requests and responses and merges the results of shards. It does not send searches or
 //! store results between pages: `routing` does. Names in the JSON are those of OpenSearch.
 
+mod hit;
+mod hit_list;
 mod json_object;
 mod merge;
 mod search;
+mod shard_result;
 mod sort_value;
 
+pub use hit_list::HitList;
 pub use json_object::JsonObject;
-pub use merge::{MergedResult, is_acceptable_result, merge_results};
+pub use merge::{MergedResult, PageInfo, merge_results};
 pub use search::Search;
+pub use shard_result::is_acceptable_result;
 
 use super::http::Response;
 use crate::routing::Rejection;
--- a/src/protocol/opensearch/search.rs
+++ b/src/protocol/opensearch/search.rs
@@ -4,6 +4,7 @@
 use crate::protocol::http::Request;
 use bytes::Bytes;
 use serde_json::{Value, json};
+use std::ops::Range;
 use std::time::Duration;
 
 /// Default number of hits per page.
@@ -92,6 +93,14 @@
         })
     }
 
+    /// Returns which of this many merged hits are kept: those of the page, or all of them for a scroll.
+    pub(super) fn merged_range(&self, hits: usize) -> Range<usize> {
+        if self.scroll.is_some() {
+            return 0..hits;
+        }
+        self.from.min(hits)..(self.from + self.size).min(hits)
+    }
+
     /// Returns the body that is sent to each shard.
     #[must_use]
     pub fn shard_request_body(&self) -> Bytes {
--- a/src/protocol/opensearch/sort_value.rs
+++ b/src/protocol/opensearch/sort_value.rs
@@ -3,7 +3,7 @@
 //! Index servers are not trusted to send values of one kind. The order is total for any JSON, because sorting with an
 //! order that is not total may panic.
 
-use serde_json::Value;
+use std::borrow::Cow;
 use std::cmp::Ordering;
 
 /// Text in which servers write positive infinity, which JSON has no number for.
@@ -13,63 +13,18 @@
 /// Text in which servers write a floating-point value that is not a number.
 const NOT_A_NUMBER: &str = "NaN";
 
-/// The kind of the values that one sort key has.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Kind {
-    Bool,
-    Number,
-    Text,
-}
-
-impl Kind {
-    /// Returns whether a value is of this kind. Texts for floating-point values without a JSON number are of the kind
-    /// number as well.
-    fn includes(self, value: &Value) -> bool {
-        match value {
-            Value::Null => true,
-            Value::Bool(_) => self == Kind::Bool,
-            Value::Number(_) => self == Kind::Number,
-            Value::String(text) => {
-                self == Kind::Text || (self == Kind::Number && special_float(text).is_some())
-            }
-            Value::Array(_) | Value::Object(_) => false,
-        }
-    }
-}
-
-/// Returns the floating-point value that a server writes as this text.
-fn special_float(text: &str) -> Option<f64> {
-    match text {
-        INFINITY => Some(f64::INFINITY),
-        NEGATIVE_INFINITY => Some(f64::NEG_INFINITY),
-        NOT_A_NUMBER => Some(f64::NAN),
-        _ => None,
-    }
-}
-
-/// Returns whether the values of one sort key are of one kind; missing values are of any.
-pub(super) fn are_of_one_kind<'a>(values: impl Iterator<Item = &'a Value> + Clone) -> bool {
-    [Kind::Number, Kind::Text, Kind::Bool]
-        .into_iter()
-        .any(|kind| values.clone().all(|value| kind.includes(value)))
-}
-
 /// A number that is compared exactly: integers keep all their digits.
 #[derive(Clone, Copy, Debug)]
-enum Number {
-    /// An integer of 64 bits, signed or unsigned.
+pub(super) enum Number {
     Integer(i128),
     Float(f64),
 }
 
 impl Number {
-    fn new(number: &serde_json::Number) -> Number {
-        let integer = number.as_i64().map(i128::from).or_else(|| number.as_u64().map(i128::from));
-        match integer {
-            Some(integer) => Number::Integer(integer),
-            // JSON has no number that is not finite, and each of the others is an integer or a float.
-            None => Number::Float(number.as_f64().unwrap_or(f64::NAN)),
-        }
+    /// Reads a JSON number.
+    fn parse(text: &str) -> Option<Number> {
+        let integer = text.parse().map(Number::Integer).ok();
+        integer.or_else(|| text.parse().map(Number::Float).ok())
     }
 
     /// Compares by value. A float that is not a number is greater than all others.
@@ -85,72 +40,128 @@
     }
 }
 
-/// Compares an integer of 64 bits to a float exactly.
+/// Compares an integer to a float exactly.
 fn compare_integer_to_float(integer: i128, float: f64) -> Ordering {
-    /// A bound over all integers of 64 bits.
-    const INTEGER_BOUND: f64 = (1_u128 << 65) as f64;
+    /// The least float over all integers of 128 bits.
+    const INTEGER_BOUND: f64 = -(i128::MIN as f64);
     if float.is_nan() || float >= INTEGER_BOUND {
         return Ordering::Less;
     }
-    if float <= -INTEGER_BOUND {
+    if float < -INTEGER_BOUND {
         return Ordering::Greater;
     }
     let whole = float.trunc();
     integer.cmp(&(whole as i128)).then_with(|| whole.partial_cmp(&float).unwrap_or(Ordering::Equal))
 }
 
-/// A sort value that is present. Values of different kinds, which sound servers do not send for one key, are in the
-/// order of the variants.
+/// A sort value of a hit.
 #[derive(Clone, Debug)]
-enum Present {
+pub(super) enum SortValue<'a> {
+    /// The document has no value.
+    Missing,
+    /// A boolean.
     Bool(bool),
+    /// A number.
     Number(Number),
-    Text(String),
+    /// A text, which may stand for a floating-point value that JSON has no number for.
+    Text(Cow<'a, str>),
 }
 
-impl Present {
-    fn compare(&self, other: &Present) -> Ordering {
-        let rank = |value: &Present| match value {
-            Present::Bool(_) => 0,
-            Present::Number(_) => 1,
-            Present::Text(_) => 2,
-        };
-        match (self, other) {
-            (Present::Bool(a), Present::Bool(b)) => a.cmp(b),
-            (Present::Number(a), Present::Number(b)) => a.compare(*b),
-            (Present::Text(a), Present::Text(b)) => a.cmp(b),
-            _ => rank(self).cmp(&rank(other)),
+impl<'a> SortValue<'a> {
+    /// Reads a sort value from its JSON text; `None` if it is an array, an object or invalid.
+    pub(super) fn parse(json: &'a str) -> Option<SortValue<'a>> {
+        match json.as_bytes().first()? {
+            b'n' => Some(SortValue::Missing),
+            b't' => Some(SortValue::Bool(true)),
+            b'f' => Some(SortValue::Bool(false)),
+            b'"' => {
+                let unescaped = json.strip_prefix('"')?.strip_suffix('"')?;
+                if unescaped.contains('\\') {
+                    return Some(SortValue::Text(serde_json::from_str::<String>(json).ok()?.into()));
+                }
+                Some(SortValue::Text(unescaped.into()))
+            }
+            b'-' | b'0'..=b'9' => Number::parse(json).map(SortValue::Number),
+            _ => None,
+        }
+    }
+
+    /// The number that a value of a numeric key is.
+    fn as_number(&self) -> Option<Number> {
+        match self {
+            SortValue::Number(number) => Some(*number),
+            SortValue::Text(text) => special_float(text).map(Number::Float),
+            SortValue::Missing | SortValue::Bool(_) => None,
         }
     }
 }
 
-/// A sort value of a hit.
-#[derive(Clone, Debug)]
-pub(super) struct SortValue(Option<Present>);
+/// Returns the floating-point value that a server writes as this text.
+fn special_float(text: &str) -> Option<f64> {
+    match text {
+        INFINITY => Some(f64::INFINITY),
+        NEGATIVE_INFINITY => Some(f64::NEG_INFINITY),
+        NOT_A_NUMBER => Some(f64::NAN),
+        _ => None,
+    }
+}
 
-impl SortValue {
-    /// Reads a value of a key that has numbers if `is_numeric` is set. What is no sort value counts as missing.
-    pub(super) fn new(value: &Value, is_numeric: bool) -> SortValue {
-        SortValue(match value {
-            Value::Null | Value::Array(_) | Value::Object(_) => None,
-            Value::Bool(value) => Some(Present::Bool(*value)),
-            Value::Number(number) => Some(Present::Number(Number::new(number))),
-            Value::String(text) => Some(match special_float(text).filter(|_| is_numeric) {
-                Some(float) => Present::Number(Number::Float(float)),
-                None => Present::Text(text.clone()),
-            }),
-        })
+/// The kind of the values of one sort key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Kind {
+    /// No hit has a value.
+    AllMissing,
+    /// All values are booleans.
+    Bool,
+    /// All values are numbers, or texts for floating-point values that JSON has no number for.
+    Number,
+    /// All values are texts.
+    Text,
+}
+
+impl Kind {
+    /// Returns the kind of values of one key, of which missing ones are of any; `None` if they are of several.
+    pub(super) fn of<'a, 'v: 'a>(values: impl Iterator<Item = &'a SortValue<'v>> + Clone) -> Option<Kind> {
+        let mut present = values.filter(|value| !matches!(value, SortValue::Missing));
+        let all = present.clone();
+        let Some(first) = present.next() else { return Some(Kind::AllMissing) };
+        if all.clone().all(|value| matches!(value, SortValue::Text(_))) {
+            return Some(Kind::Text);
+        }
+        if all.clone().all(|value| value.as_number().is_some()) {
+            return Some(Kind::Number);
+        }
+        let all_bool =
+            matches!(first, SortValue::Bool(_)) && present.all(|value| matches!(value, SortValue::Bool(_)));
+        all_bool.then_some(Kind::Bool)
+    }
+}
+
+impl SortValue<'_> {
+    /// Compares two values that are present, of a key of this kind. Values of other kinds, which sound servers do not
+    /// send, are ordered by their kinds: the order is total.
+    pub(super) fn compare_present(&self, other: &SortValue<'_>, kind: Kind) -> Ordering {
+        let number = |value: &SortValue<'_>| if kind == Kind::Text { None } else { value.as_number() };
+        match (self, other) {
+            (SortValue::Bool(a), SortValue::Bool(b)) => a.cmp(b),
+            (a, b) => match (number(a), number(b)) {
+                (Some(a), Some(b)) => a.compare(b),
+                (a_number, b_number) => {
+                    let rank = |value: &SortValue<'_>, number: Option<Number>| match value {
+                        SortValue::Missing | SortValue::Bool(_) => 0,
+                        _ if number.is_some() => 1,
+                        SortValue::Number(_) | SortValue::Text(_) => 2,
+                    };
+                    rank(a, a_number).cmp(&rank(b, b_number)).then_with(|| a.text().cmp(&b.text()))
+                }
+            },
+        }
     }
 
-    /// Compares two values of a key. Missing ones come first or last, whatever the direction.
-    pub(super) fn compare(&self, other: &SortValue, descending: bool, missing_first: bool) -> Ordering {
-        let missing_order = if missing_first { Ordering::Less } else { Ordering::Greater };
-        match (&self.0, &other.0) {
-            (None, None) => Ordering::Equal,
-            (None, Some(_)) => missing_order,
-            (Some(_), None) => missing_order.reverse(),
-            (Some(a), Some(b)) if descending => a.compare(b).reverse(),
-            (Some(a), Some(b)) => a.compare(b),
+    fn text(&self) -> Option<&str> {
+        match self {
+            SortValue::Text(text) => Some(text),
+            SortValue::Missing | SortValue::Bool(_) | SortValue::Number(_) => None,
         }
     }
 }
--- a/src/routing/scroll_contexts.rs
+++ b/src/routing/scroll_contexts.rs
@@ -34,8 +34,8 @@
         ScrollContexts { random, max_contexts, max_bytes, total_bytes: 0, entries: HashMap::new() }
     }
 
-    /// Stores a result of `size` bytes for its owner and returns the id of the new context. No existing context is
-    /// evicted for it.
+    /// Stores a result of `size` bytes for its owner. Returns the id of the new context, and the result. No existing
+    /// context is evicted for it.
     ///
     /// # Errors
     /// [`ScrollLimitReached`] if the new context would exceed `max_contexts` or `max_bytes`.
@@ -46,17 +46,18 @@
         keep_alive: Duration,
         value: T,
         size: usize,
-    ) -> Result<String, ScrollLimitReached> {
+    ) -> Result<(String, Rc<T>), ScrollLimitReached> {
         self.expire(now);
         if self.entries.len() >= self.max_contexts || self.total_bytes + size > self.max_bytes {
             return Err(ScrollLimitReached);
         }
         let id = format!("{:032x}", self.random.u128(..));
+        let value = Rc::new(value);
         let entry =
-            Entry { owner: owner.to_owned(), value: Rc::new(value), size, expires_at: now.after(keep_alive) };
+            Entry { owner: owner.to_owned(), value: value.clone(), size, expires_at: now.after(keep_alive) };
         self.total_bytes += size;
         self.entries.insert(id.clone(), entry);
-        Ok(id)
+        Ok((id, value))
     }
 
     /// Returns the result of a context of this owner. If `keep_alive` is given, the context expires that long after
--- a/src/transport/descriptor_pool.rs
+++ b/src/transport/descriptor_pool.rs
@@ -5,15 +5,18 @@
 //! share. The allocation rules are in [`crate::limits`].
 //!
 //! `descriptor_permit.rs` has the permit for one descriptor, `connect_permit.rs` the permits to connect and their
-//! queue, `buffer_reservation.rs` the bytes buffered for one peer.
+//! queue, `buffer_reservation.rs` the bytes buffered for one peer, `result_memory.rs` the bytes of results of index
+//! servers.
 
 mod buffer_reservation;
 mod connect_permit;
 mod descriptor_permit;
+mod result_memory;
 
 pub use buffer_reservation::BufferReservation;
 pub use connect_permit::ConnectPermit;
 pub use descriptor_permit::DescriptorPermit;
+pub use result_memory::{ResultMemory, ResultRead};
 
 use crate::limits::descriptors::DESCRIPTOR_CLASSES;
 use crate::limits::{
@@ -37,6 +40,7 @@
     start: Instant,
     descriptors: RefCell<DescriptorAllocator>,
     buffers: RefCell<BufferBudget>,
+    result_memory: ResultMemory,
     connect_queue: RefCell<PendingConnects>,
     reclaims: [ReclaimRequest; DESCRIPTOR_CLASSES.len()],
     /// Notified when a descriptor is released.
@@ -56,7 +60,8 @@
 }
 
 impl DescriptorPool {
-    /// Creates a pool in which all descriptors are free and `max_buffered_bytes` may be buffered.
+    /// Creates a pool in which all descriptors are free and `max_buffered_bytes` may be buffered, and as many may be
+    /// held as results of index servers.
     #[must_use]
     pub fn new(budget: DescriptorBudget, max_buffered_bytes: usize) -> Rc<DescriptorPool> {
         let start = Instant::now();
@@ -64,6 +69,7 @@
             start,
             scheduler: TaskScheduler::new(start),
             buffers: RefCell::new(BufferBudget::new(max_buffered_bytes, budget.usable)),
+            result_memory: ResultMemory::new(max_buffered_bytes),
             connect_queue: RefCell::new(PendingConnects::new(&budget)),
             descriptors: RefCell::new(DescriptorAllocator::new(budget)),
             reclaims: Default::default(),
@@ -77,6 +83,10 @@
     pub fn scheduler(&self) -> &Rc<TaskScheduler> {
         &self.scheduler
     }
+    /// The memory of results of index servers.
+    pub fn result_memory(&self) -> &ResultMemory {
+        &self.result_memory
+    }
     /// The time since the pool was created, which the rules in [`crate::limits`] use as their clock.
     pub fn now(&self) -> Time {
         Time(0).after(self.start.elapsed())
@@ -140,6 +150,7 @@
     /// Replaces the budget of descriptors and buffered bytes, and reclaims idle descriptors that exceed the new budget.
     pub async fn set_budget(&self, budget: DescriptorBudget, max_buffered_bytes: usize) {
         self.buffers.borrow_mut().resize(max_buffered_bytes, budget.usable);
+        self.result_memory.resize(max_buffered_bytes);
         self.descriptors.borrow_mut().set_budget(budget);
         self.released.notify_waiters();
         for _ in 0..self.descriptors(|allocator| allocator.excess()) {
--- a/src/transport/http_client.rs
+++ b/src/transport/http_client.rs
@@ -8,6 +8,9 @@
 use std::io;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
+/// Capacity of the buffer at the first read of a response, in bytes.
+pub const MIN_BUFFER_BYTES: usize = 4 << 10;
+
 /// Why an exchange ended without a response.
 #[derive(Debug, thiserror::Error)]
 pub enum ExchangeError {
@@ -53,6 +56,20 @@
     stream: &mut dyn Stream,
     buffer: &mut BytesMut,
     max_body_bytes: usize,
+) -> Result<ReceivedResponse, ExchangeError> {
+    receive_as_memory_allows(stream, buffer, max_body_bytes, async |_| ()).await
+}
+
+/// Reads the response like [`receive`]. Before the buffer grows, `reserve` is called with the capacity that it will have,
+/// and the read waits until it returns.
+///
+/// # Errors
+/// Those of [`receive`].
+pub async fn receive_as_memory_allows(
+    stream: &mut dyn Stream,
+    buffer: &mut BytesMut,
+    max_body_bytes: usize,
+    mut reserve: impl AsyncFnMut(usize),
 ) -> Result<ReceivedResponse, ExchangeError> {
     let mut decoder = ResponseDecoder::new(max_body_bytes);
     loop {
@@ -62,6 +79,11 @@
             }
             continue;
         }
+        if buffer.len() == buffer.capacity() {
+            let capacity = (2 * buffer.capacity()).max(MIN_BUFFER_BYTES);
+            reserve(capacity).await;
+            buffer.reserve(capacity - buffer.len());
+        }
         if stream.read_buf(buffer).await.map_err(ExchangeError::NoResponse)? == 0 {
             if let Some(response) = decoder.take_at_eof(buffer)?
                 && response.status >= 200
--- a/src/transport/index_servers.rs
+++ b/src/transport/index_servers.rs
@@ -160,7 +160,7 @@
             return AttemptCompletion::without_value(outcome);
         }
         self.0.broker.on_attempts_written(written_at, &[part.attempt_id]);
-        match http_client::receive(stream, &mut buffer, MAX_RESULT_BYTES).await {
+        match receive_result(&self.0.descriptor_pool, stream, &mut buffer, part.attempt_id).await {
             Ok(response) => {
                 if response.keep_alive && buffer.is_empty() {
                     self.keep_idle(server, connection);
@@ -252,6 +252,27 @@
     sent.map_err(|_| AttemptOutcome::ConnectFailed)
 }
 
+/// Reads the result of an attempt as the memory of results allows.
+async fn receive_result(
+    descriptor_pool: &DescriptorPool,
+    stream: &mut dyn Stream,
+    buffer: &mut BytesMut,
+    attempt: AttemptId,
+) -> Result<ReceivedResponse, ExchangeError> {
+    let mut read = None;
+    let reserve = async |capacity: usize| {
+        // The buffer and the body that is decoded from it are held together for a moment. The first buffer is not
+        // counted: a server may take long before it sends anything.
+        if capacity > http_client::MIN_BUFFER_BYTES {
+            let begin_read = || descriptor_pool.result_memory().begin_read(attempt);
+            read.get_or_insert_with(begin_read).grow_to(2 * capacity).await;
+        }
+    };
+    let response = http_client::receive_as_memory_allows(stream, buffer, MAX_RESULT_BYTES, reserve).await?;
+    let read = read.unwrap_or_else(|| descriptor_pool.result_memory().begin_read(attempt));
+    Ok(ReceivedResponse { body: read.finish(response.body), ..response })
+}
+
 /// The completion of the attempt that got this response.
 fn completion_of(server: &Server, response: ReceivedResponse) -> AttemptCompletion {
     match response.status {
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -7,12 +7,14 @@
 mod discovery;
 mod frame;
 mod gatherer;
+mod opensearch;
 mod worker;
 
 pub use client::{call_operator_api, metric_value, query, response};
 pub use discovery::{Discovery, member};
 pub use frame::{read_frame, write_frame};
 pub use gatherer::{Gatherer, faults_library};
+pub use opensearch::{IndexServer, OpenSearchFront, hits_of, index_of, shard_of, shard_result};
 pub use worker::Worker;
 
 use super::platform::platform_json;
--- a/tests/opensearch_merge.rs
+++ b/tests/opensearch_merge.rs
@@ -2,11 +2,12 @@
 
 use bytes::BytesMut;
 use gatherer::protocol::http;
-use gatherer::protocol::opensearch::{Search, is_acceptable_result, merge_results};
+use gatherer::protocol::opensearch::{PageInfo, Search, is_acceptable_result, merge_results};
 use proptest::collection::vec;
 use proptest::prelude::{Just, ProptestConfig, Strategy, any, prop_assert_eq, prop_oneof, proptest};
 use proptest::test_runner::RngSeed;
 use serde_json::{Value, json};
+use std::time::Duration;
 
 /// Parses a search with this `sort`, for all hits of a window of 1000.
 fn search(sort: &Value) -> Search {
@@ -31,6 +32,8 @@
 fn merged(sort: &Value, results: &[Vec<u8>]) -> Vec<Value> {
     let shards = results.iter().enumerate().map(|(shard, body)| (shard as u32, &body[..]));
     let hits = merge_results(&search(sort), shards).hits;
+    let text = hits.page(0..hits.len()).expect("all hits");
+    let hits: Vec<Value> = serde_json::from_str(&format!("[{text}]")).expect("hits are valid JSON");
     hits.into_iter().map(|hit| hit["sort"][0].clone()).collect()
 }
 
@@ -112,7 +115,8 @@
     let results = [huge.as_bytes(), huge.as_bytes()];
     let merged =
         merge_results(&search(&json!([])), results.into_iter().zip(0..).map(|(body, shard)| (shard, body)));
-    let page = merged.page(&[], std::time::Duration::ZERO, 2, 2);
+    let info = PageInfo { took: Duration::ZERO, shards: 2, responded: 2, scroll_id: None };
+    let page: Value = serde_json::from_str(&merged.page(0..0, &info).expect("a page")).expect("valid JSON");
     assert_eq!(page["hits"]["total"]["value"], json!(u64::MAX));
 }
 
