Reserve what a scroll needs before it runs, and answer no search that ran as rejected

A retry with a new key ran every part again.

Cause: the place for the result was asked for after the run, and its want encoded as a rejection. The check that a rejection is harmless stands in the core and did not see it.

Change: a search is admitted, with a reservation, before it is submitted; only an admitted search can be executed. Admission comes before the claim of the key. A recorded response over the limit of all drops itself alone, no longer all others.

--- a/src/fronts/opensearch/at_most_once.rs
+++ b/src/fronts/opensearch/at_most_once.rs
@@ -2,7 +2,8 @@
 //! key, and retries with the key get the cached response. A key that this incarnation does not hold is rejected,
 //! because its search may have run.
 
-use super::{KEY_RETENTION, OpenSearchFront, ValidSearch};
+use super::search::{AdmittedSearch, ValidSearch};
+use super::{KEY_RETENTION, OpenSearchFront};
 use crate::protocol::http::{Request, Response};
 use crate::protocol::opensearch::SearchError;
 use crate::routing::idempotency::{Execution, KeyClaim};
@@ -24,34 +25,43 @@
         key: Option<&str>,
     ) -> Result<Response, SearchError> {
         let key = key.ok_or_else(missing_key_error)?;
-        let now = self.clock.now();
         let ValidSearch { owner, request_digest, .. } = &valid_search;
-        let claim = self.idempotency.borrow_mut().claim(now, key, owner, *request_digest);
-        let mut outcome_receiver = match claim {
-            KeyClaim::Run(receiver) => {
-                // Retries of a search that ran still get its response.
-                if let Some(rejection) = self.rejects_new(&valid_search.search_request) {
-                    self.finish(key, rejection.clone(), Execution::NotExecuted);
-                    return Ok(rejection);
-                }
-                self.spawn_search(valid_search, key);
+        let (owner, digest) = (owner.clone(), *request_digest);
+        // The search is admitted before its key is claimed: a client that leaves while it waits leaves the key as it is.
+        // Retries of a search that runs or has run need no capacity, and still get its response.
+        let is_unclaimed = self.idempotency.borrow_mut().is_unclaimed(self.clock.now(), key, &owner);
+        let admitted = if is_unclaimed { Some(self.admit(valid_search).await) } else { None };
+        let admitted = match admitted.transpose() {
+            Ok(admitted) => admitted,
+            Err(rejection) => return Ok(rejection),
+        };
+        let claim = self.idempotency.borrow_mut().claim(self.clock.now(), key, &owner, digest);
+        let mut outcome_receiver = match (claim, admitted) {
+            (KeyClaim::Run(receiver), Some(admitted)) => {
+                self.spawn_search(admitted, key);
                 receiver
             }
-            KeyClaim::Join(receiver) => receiver,
-            KeyClaim::Cached(response) => return Ok(response),
-            KeyClaim::Mismatch => return Err(key_mismatch_error()),
-            KeyClaim::Unknown => return Err(self.unknown_key_error(key)),
+            // Only a key that was not claimed is run, and nothing can have run with it meanwhile.
+            (KeyClaim::Run(_), None) => {
+                let rejection = self.capacity_rejection();
+                self.finish(key, rejection.clone(), Execution::NotExecuted);
+                return Ok(rejection);
+            }
+            (KeyClaim::Join(receiver), _) => receiver,
+            (KeyClaim::Cached(response), _) => return Ok(response),
+            (KeyClaim::Mismatch, _) => return Err(key_mismatch_error()),
+            (KeyClaim::Unknown, _) => return Err(self.unknown_key_error(key)),
         };
         let outcome = outcome_receiver.wait_for(Option::is_some).await.map_err(|_| lost_outcome_error())?;
         outcome.clone().ok_or_else(lost_outcome_error)
     }
 
     /// Runs a search in its own task, so that it completes and its response is cached even if the client disconnects.
-    fn spawn_search(self: &Rc<Self>, valid_search: ValidSearch, key: &str) {
+    fn spawn_search(self: &Rc<Self>, admitted: AdmittedSearch, key: &str) {
         let (front, key) = (self.clone(), key.to_owned());
         spawn_local(async move {
             let runner = front.clone();
-            let run = spawn_local(async move { runner.execute(valid_search).await }).await;
+            let run = spawn_local(async move { runner.execute(admitted).await }).await;
             // A `JoinError` here means that the task panicked; the panic hook has printed the panic already.
             let (response, execution) =
                 run.unwrap_or_else(|_| (lost_outcome_error().response(), Execution::MayHaveRun));
--- a/src/protocol/opensearch/hit_list.rs
+++ b/src/protocol/opensearch/hit_list.rs
@@ -35,6 +35,12 @@
         self.ends.shrink_to_fit();
     }
 
+    /// The most memory that this many hits of this many bytes in all can take.
+    #[must_use]
+    pub fn max_held_bytes(hits: usize, bytes: usize) -> usize {
+        bytes + hits * (1 + size_of::<usize>())
+    }
+
     /// Number of hits.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/routing/idempotency.rs
+++ b/src/routing/idempotency.rs
@@ -104,6 +104,13 @@
         Ok(key)
     }
 
+    /// Whether `owner` can claim a key with which no request runs or has run.
+    pub fn is_unclaimed(&mut self, now: Time, key: &str, owner: &str) -> bool {
+        self.expire(now);
+        let entry = self.entries.get(key).filter(|entry| entry.owner == owner);
+        entry.is_some_and(|entry| matches!(entry.state, KeyState::Issued))
+    }
+
     /// Claims a key for a request of `owner`; `digest` identifies the request's content.
     pub fn claim(&mut self, now: Time, key: &str, owner: &str, digest: u64) -> KeyClaim<T> {
         self.expire(now);
@@ -129,7 +136,8 @@
 
     /// Ends the run of a key and sends the response to all requests that joined it. If the request may have run, the
     /// response is cached and the key never runs again; otherwise the key can be claimed for another run. If the
-    /// cached responses exceed `max_bytes`, the oldest are dropped together with their keys.
+    /// cached responses exceed `max_bytes`, the oldest are dropped together with their keys; a response that is larger
+    /// by itself is dropped with its key, and no other.
     pub fn finish(&mut self, now: Time, key: &str, response: T, size: usize, execution: Execution) {
         let Some(entry) = self.entries.get_mut(key) else { return };
         let KeyState::Running { digest, sender } = &entry.state else { return };
@@ -143,6 +151,9 @@
             }
             Execution::NotExecuted => KeyState::Issued,
         };
+        if size > self.limits.max_bytes {
+            self.forget(key);
+        }
         while self.cached_bytes > self.limits.max_bytes {
             let cached =
                 self.entries.iter().filter(|(_, entry)| matches!(entry.state, KeyState::Cached { .. }));
--- a/src/routing/idempotency/tests.rs
+++ b/src/routing/idempotency/tests.rs
@@ -52,3 +52,17 @@
     store.finish(Time(0), &key, "refused", 7, Execution::NotExecuted);
     assert!(matches!(store.claim(Time(0), &key, "bank", 1), KeyClaim::Run(_)));
 }
+
+// Guards against one response that takes the recorded outcomes of all other keys with it.
+#[test]
+fn a_response_over_the_limit_is_dropped_alone() {
+    let mut store = store("a");
+    let keys = [store.issue(Time(0), "bank"), store.issue(Time(0), "bank")]
+        .map(|key| key.expect("the limit is not reached"));
+    for (key, size) in [(&keys[0], 6), (&keys[1], 11)] {
+        assert!(matches!(store.claim(Time(0), key, "bank", 1), KeyClaim::Run(_)));
+        store.finish(Time(0), key, "sealed", size, Execution::MayHaveRun);
+    }
+    assert!(matches!(store.claim(Time(0), &keys[0], "bank", 1), KeyClaim::Cached("sealed")));
+    assert!(matches!(store.claim(Time(0), &keys[1], "bank", 1), KeyClaim::Unknown));
+}
--- a/src/transport/index_servers.rs
+++ b/src/transport/index_servers.rs
@@ -25,7 +25,7 @@
 /// close it while a search is being written.
 const IDLE_CLOSE_FRACTION: f64 = 0.6;
 /// The maximum size of the result of one shard, in bytes.
-const MAX_RESULT_BYTES: usize = 512 << 10;
+pub const MAX_RESULT_BYTES: usize = 512 << 10;
 
 /// The connections to all index servers.
 #[derive(Clone)]
--- a/tests/common/process/opensearch.rs
+++ b/tests/common/process/opensearch.rs
@@ -116,7 +116,10 @@
             .iter()
             .enumerate()
             .map(|(cell, server)| {
-                format!(r#"{{ name = "s{cell}", address = "{}", zone = "a", cell = {cell} }}"#, server.address)
+                format!(
+                    r#"{{ name = "s{cell}", address = "{}", zone = "a", cell = {cell} }}"#,
+                    server.address
+                )
             })
             .collect();
         let text = include_str!("../../scenario/opensearch.toml")
--- a/tests/opensearch_memory.rs
+++ b/tests/opensearch_memory.rs
@@ -15,8 +15,7 @@
 
 /// A result with the hits of a shard, each a list of small objects, as one document has many signers.
 fn result(shard: usize) -> String {
-    let signers: Vec<Value> =
-        (0..SIGNERS).map(|number| json!({"id": number, "at": 1_733_400_000})).collect();
+    let signers: Vec<Value> = (0..SIGNERS).map(|number| json!({"id": number, "at": 1_733_400_000})).collect();
     let source = json!({"signers": signers}).to_string();
     let hits = (0..HITS).map(|number| {
         let id = format!("{shard}-{number:04}");
