Keep each shard's order in the merge, and compare texts by the types of their fields

Cause: servers sort a field by its type and write the value as text. The merge dropped the order of each shard's hits and sorted all of them by text, so that the first ten of another order were returned, which depend on how many hits were asked for.

Change: a merge of the shards' own orders, which no page depends on how many hits come behind. Where texts of several shards are compared, the server that answered the index's latest search is asked for the field's type, once in ten minutes. An order that cannot be merged is a 400 that names the field, or a 500 where the search must not run twice.

--- a/src/fronts/opensearch.rs
+++ b/src/fronts/opensearch.rs
@@ -5,9 +5,11 @@
 //! are decoded and merged in `protocol::opensearch`.
 
 mod at_most_once;
+mod field_types;
 mod scrolls;
 mod search;
 
+use self::field_types::FieldTypeCache;
 use self::scrolls::Scrolls;
 use super::counters_text;
 use crate::policy::{ClassId, Idempotency, TenantId};
@@ -16,6 +18,7 @@
 use crate::routing::idempotency::{IdempotencyLimits, IdempotencyStore};
 use crate::routing::{Broker, Clock, Invariant};
 use crate::transport::connection_manager::ConnectionManager;
+use crate::transport::index_servers::FieldTypeSource;
 use crate::transport::listener::Front;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -50,14 +53,16 @@
     mapping: RequestMapping,
     idempotency: RefCell<IdempotencyStore<Response>>,
     scrolls: Rc<Scrolls>,
+    field_types: FieldTypeCache,
 }
 
 impl OpenSearchFront {
-    /// Creates a front. `incarnation` identifies this start of this gatherer and no other; idempotency keys contain it.
+    /// Creates a front. `field_types` reports the types of sorted fields. `incarnation` identifies this start of this gatherer and no other; idempotency keys contain it.
     pub fn new(
         broker: Broker,
         clock: Clock,
         connections: Rc<ConnectionManager>,
+        field_types: Rc<dyn FieldTypeSource>,
         mapping: RequestMapping,
         incarnation: String,
         seed: u64,
@@ -74,7 +79,8 @@
             retention: KEY_RETENTION,
         };
         let idempotency = RefCell::new(IdempotencyStore::new(incarnation, random, idempotency_limits));
-        Rc::new(OpenSearchFront { broker, clock, connections, mapping, idempotency, scrolls })
+        let field_types = FieldTypeCache::new(clock, field_types);
+        Rc::new(OpenSearchFront { broker, clock, connections, mapping, idempotency, scrolls, field_types })
     }
 
     /// Returns the id of the caller, and the tenant where callers are configured.
--- a/src/fronts/opensearch/search.rs
+++ b/src/fronts/opensearch/search.rs
@@ -5,12 +5,13 @@
 
 use super::scrolls::{ScrollReservation, ScrollResult};
 use super::{OpenSearchFront, failed_search};
-use crate::policy::{Class, Idempotency, ShardId};
+use crate::policy::{Class, Idempotency, ShardId, Time};
 use crate::protocol::http::{Request, Response};
-use crate::protocol::opensearch::{self, MergedResult, PageInfo, Search, SearchError};
+use crate::protocol::opensearch::{self, MergeError, MergedResult, PageInfo, Search, SearchError};
 use crate::routing::idempotency::Execution;
 use crate::routing::invariants::check_rejection;
 use crate::routing::{QueryOutcome, QueryPart, Rejection, SearchRequest};
+use bytes::Bytes;
 use std::ops::Range;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -115,6 +116,7 @@
     pub(super) async fn execute(&self, admitted: AdmittedSearch) -> (Response, Execution) {
         let AdmittedSearch { valid, scroll } = admitted;
         let ValidSearch { search, search_request, owner, class, .. } = valid;
+        let (index, time_left) = (search_request.label.clone(), search_request.time_left);
         let (shards, started_at) = (search_request.parts.len(), self.clock.now());
         let values = match self.broker.submit(search_request).await {
             QueryOutcome::Rejected { reason, retry_after } => {
@@ -123,24 +125,50 @@
             QueryOutcome::Failed => return (failed_search().response(), Execution::MayHaveRun),
             QueryOutcome::Answered { values, .. } => values,
         };
-        let merged =
-            opensearch::merge_results(&search, values.iter().map(|(shard, value)| (shard.0, &**value)));
+        let merged = self.merge(&search, &index, values, time_left, started_at).await;
         let took = self.clock.now().since(started_at);
-        let answer = Answer { merged, took, shards };
-        drop(values);
-        let response = match (search.scroll, scroll) {
+        let response = merged.and_then(|merged| match (search.scroll, scroll) {
             (Some(lifetime), Some(reservation)) => {
+                let answer = Answer { merged, took, shards };
                 self.first_page(answer, reservation, &owner, lifetime, search.size)
             }
             _ => {
                 let info = PageInfo { took, shards, scroll_id: None };
-                page_response(&answer.merged, 0..answer.merged.hits.len(), &info)
+                page_response(&merged, 0..merged.hits.len(), &info)
             }
-        };
+        });
         let response = response.unwrap_or_else(|error| error_after_run(error, &class).response());
         (response, Execution::MayHaveRun)
     }
 
+    /// Merges the results of the shards of a search that was submitted at `started_at` with `time_left`.
+    async fn merge(
+        &self,
+        search: &Search,
+        index: &str,
+        results: Vec<(ShardId, Bytes)>,
+        time_left: Duration,
+        started_at: Time,
+    ) -> Result<MergedResult, SearchError> {
+        let merge = || {
+            let results = results.iter().map(|(shard, result)| (shard.0, &**result));
+            opensearch::merge_results(
+                search,
+                results,
+                &self.field_types.cached(index, search.sorted_fields()),
+            )
+        };
+        let merged = match merge() {
+            Err(MergeError::UnknownFieldTypes(fields)) => {
+                let time_left = time_left.saturating_sub(self.clock.now().since(started_at));
+                self.field_types.ask(index, &fields, time_left).await;
+                merge()
+            }
+            merged => merged,
+        };
+        merged.map_err(|error| SearchError::illegal_argument(error.to_string()))
+    }
+
     /// Stores the result of a scroll, and encodes its first page.
     fn first_page(
         &self,
--- a/src/program/run/opensearch.rs
+++ b/src/program/run/opensearch.rs
@@ -62,8 +62,15 @@
         let servers = IndexServers::new(broker.clone(), Rc::new(TcpConnector), descriptor_pool.clone());
         spawn_local(servers.clone().close_idle_on_reclaim());
         let connections = ConnectionManager::new(descriptor_pool);
-        let front =
-            OpenSearchFront::new(broker.clone(), clock, connections.clone(), file.mapping, incarnation, seed);
+        let front = OpenSearchFront::new(
+            broker.clone(),
+            clock,
+            connections.clone(),
+            Rc::new(servers.clone()),
+            file.mapping,
+            incarnation,
+            seed,
+        );
         let name = FRONT_NAME.to_owned();
         let serving =
             ServingProcess { name, broker, connections, recording, upgrade: None, members: None, stop };
--- a/src/protocol/opensearch/merge.rs
+++ b/src/protocol/opensearch/merge.rs
@@ -1,13 +1,13 @@
 //! Merges the results of shards into one order, and encodes pages of the merged result.
 
+use super::field_types::FieldTypes;
 use super::hit::Hit;
 use super::hit_list::HitList;
+use super::hit_order::{HitOrder, MergeError, ShardHits};
 use super::json_object::encode_members;
-use super::search::{Search, SortKey};
+use super::search::Search;
 use super::shard_result::ShardResult;
-use super::sort_value::{Kind, SortValue};
 use serde_json::json;
-use std::cmp::Ordering;
 use std::ops::Range;
 use std::time::Duration;
 
@@ -26,57 +26,18 @@
     max_score: Option<f64>,
 }
 
-/// A hit with its shard.
-struct HitOfShard<'a> {
-    shard: u32,
-    hit: Hit<'a>,
-}
-
-/// How the values of one sort key are compared.
-struct KeyOrder<'s> {
-    key: &'s SortKey,
-    kind: Kind,
-}
-
-impl KeyOrder<'_> {
-    /// Compares two values. Missing ones come first or last, whatever the direction.
-    fn compare(&self, a: &SortValue<'_>, b: &SortValue<'_>) -> Ordering {
-        let missing_order = if self.key.missing_first { Ordering::Less } else { Ordering::Greater };
-        match (a, b) {
-            (SortValue::Missing, SortValue::Missing) => Ordering::Equal,
-            (SortValue::Missing, _) => missing_order,
-            (_, SortValue::Missing) => missing_order.reverse(),
-            (a, b) if self.key.descending => a.compare_present(b, self.kind).reverse(),
-            (a, b) => a.compare_present(b, self.kind),
-        }
-    }
-}
-
-impl HitOfShard<'_> {
-    /// Compares two hits by each sort key in turn, then by shard.
-    fn compare(&self, other: &HitOfShard<'_>, keys: &[KeyOrder<'_>]) -> Ordering {
-        let values = self.hit.sort_values.iter().zip(&other.hit.sort_values);
-        let by_keys = keys.iter().zip(values).map(|(key, (own, other))| key.compare(own, other));
-        by_keys.fold(Ordering::Equal, Ordering::then).then(self.shard.cmp(&other.shard))
-    }
-}
-
-/// Determines how the values of each sort key are compared.
-fn key_orders<'s>(search: &'s Search, hits: &[HitOfShard<'_>]) -> Vec<KeyOrder<'s>> {
-    let keys = search.sort_keys.iter().enumerate();
-    let orders = keys.map(|(position, key)| {
-        let values = hits.iter().filter_map(move |hit| hit.hit.sort_values.get(position));
-        // Values of several kinds are compared as numbers, and those that are none are equal.
-        KeyOrder { key, kind: Kind::of(values).unwrap_or(Kind::Number) }
-    });
-    orders.collect()
-}
-
 /// Merges the results of shards, each given with the shard's number. Results that are rejected are left out.
-#[must_use]
-pub fn merge_results<'a>(search: &Search, results: impl Iterator<Item = (u32, &'a [u8])>) -> MergedResult {
+///
+/// # Errors
+///
+/// If the hits of several shards are in no order that can be merged, or their fields' types are not known.
+pub fn merge_results<'a>(
+    search: &Search,
+    results: impl Iterator<Item = (u32, &'a [u8])>,
+    field_types: &FieldTypes,
+) -> Result<MergedResult, MergeError> {
     let mut merged = MergedResult { complete: true, total_is_exact: true, ..MergedResult::default() };
-    let mut hits: Vec<HitOfShard<'a>> = Vec::new();
+    let mut shards: Vec<ShardHits<'a>> = Vec::new();
     for (shard, body) in results {
         let Ok(result) = ShardResult::decode(body) else { continue };
         merged.merged_shards += 1;
@@ -84,22 +45,19 @@
         merged.total_is_exact &= result.total_is_exact;
         merged.complete &= result.has_all_hits();
         merged.max_score = [merged.max_score, result.max_score].into_iter().flatten().reduce(f64::max);
-        hits.extend(result.hits.into_iter().map(|hit| HitOfShard { shard, hit }));
+        shards.push(ShardHits { shard, hits: result.hits });
     }
-    let keys = key_orders(search, &hits);
-    hits.sort_by(|a, b| a.compare(b, &keys));
-    let range = search.merged_range(hits.len());
-    merged.hits = encode_hits(hits[range].iter().map(|hit| &hit.hit), search.requested_sort_values);
-    merged
+    let order = HitOrder::determine(search, &shards, field_types)?;
+    let range = search.merged_range(shards.iter().map(|shard| shard.hits.len()).sum());
+    let hits = order.merge(&shards, range.end);
+    merged.hits = encode_hits(&hits[range], search.requested_sort_values);
+    Ok(merged)
 }
 
 /// Encodes hits with their first `requested` sort values.
-fn encode_hits<'m, 'a: 'm>(
-    hits: impl ExactSizeIterator<Item = &'m Hit<'a>> + Clone,
-    requested: usize,
-) -> HitList {
-    let mut list = HitList::with_capacity(hits.len(), hits.clone().map(Hit::text_bytes).sum());
-    hits.for_each(|hit| list.push(&hit.encode(requested)));
+fn encode_hits(hits: &[&Hit<'_>], requested: usize) -> HitList {
+    let mut list = HitList::with_capacity(hits.len(), hits.iter().map(|hit| hit.text_bytes()).sum());
+    hits.iter().for_each(|hit| list.push(&hit.encode(requested)));
     list.shrink_to_fit();
     list
 }
--- a/src/protocol/opensearch/mod.rs
+++ b/src/protocol/opensearch/mod.rs
@@ -4,19 +4,25 @@
 //! The module owns the format of requests and responses and merges the results of shards. It does not send searches or
 //! store results between pages: `routing` does. Names in the JSON are those of OpenSearch.
 
+mod field_types;
 mod hit;
 mod hit_list;
+mod hit_order;
 mod json_object;
 mod merge;
 mod search;
 mod shard_result;
 mod sort_value;
+mod text_order;
 
+pub use field_types::{FieldTypes, field_capabilities_target};
 pub use hit_list::HitList;
+pub use hit_order::MergeError;
 pub use json_object::JsonObject;
 pub use merge::{MergedResult, PageInfo, merge_results};
 pub use search::Search;
 pub use shard_result::{ResultDefect, check_result};
+pub use text_order::TextOrder;
 
 use super::http::Response;
 use crate::routing::Rejection;
--- a/src/protocol/opensearch/search.rs
+++ b/src/protocol/opensearch/search.rs
@@ -29,8 +29,29 @@
 /// How hits are compared by one sort value.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct SortKey {
+    /// Name of the field, or of what the API sorts by in its place, such as `_score`.
+    pub(super) field: String,
     pub(super) descending: bool,
-    pub(super) missing_first: bool,
+    pub(super) missing: MissingValues,
+}
+
+impl SortKey {
+    /// Whether the order of texts depends on the type of a field. Names with an underscore are the API's own, whose texts
+    /// are sorted by their bytes.
+    pub(super) fn needs_field_type(&self) -> bool {
+        !self.field.starts_with('_')
+    }
+}
+
+/// Where documents without a value are sorted.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum MissingValues {
+    /// Before all others, whatever the direction.
+    First,
+    /// Behind all others, whatever the direction.
+    Last,
+    /// As if they had this value, given as JSON.
+    As(String),
 }
 
 /// A search: the requested page, the order of hits, and the body sent to each shard.
@@ -93,6 +114,11 @@
         })
     }
 
+    /// Returns the names of the fields by which hits are sorted.
+    pub fn sorted_fields(&self) -> impl Iterator<Item = &str> {
+        self.sort_keys.iter().map(|key| key.field.as_str())
+    }
+
     /// Returns which of this many merged hits are kept: those of the page, or all of them for a scroll.
     pub(super) fn merged_range(&self, hits: usize) -> Range<usize> {
         if self.scroll.is_some() {
@@ -174,7 +200,6 @@
     };
     let requested_values = requested.len();
     let mut items = if requested.is_empty() { vec![json!({"_score": "desc"})] } else { requested };
-    let mut field_names = Vec::new();
     let mut keys = Vec::new();
     for item in &items {
         let (name, options) = match item {
@@ -194,14 +219,18 @@
                 return Err(SearchError::illegal_argument(format!("[sort] has no order [{other}]")));
             }
         };
-        let missing = options.and_then(|options| options.get("missing")?.as_str());
-        keys.push(SortKey { descending, missing_first: missing == Some("_first") });
-        field_names.push(name);
+        let missing = match options.and_then(|options| options.get("missing")) {
+            None | Some(Value::Null) => MissingValues::Last,
+            Some(Value::String(place)) if place == "_last" => MissingValues::Last,
+            Some(Value::String(place)) if place == "_first" => MissingValues::First,
+            Some(substitute) => MissingValues::As(substitute.to_string()),
+        };
+        keys.push(SortKey { field: name, descending, missing });
     }
     // Without a unique last key, hits that tie have no fixed order: one could appear on two pages or on none.
-    if field_names.last().is_none_or(|name| name != "_id") {
+    if keys.last().is_none_or(|key| key.field != "_id") {
         items.push(json!({"_id": "asc"}));
-        keys.push(SortKey { descending: false, missing_first: false });
+        keys.push(SortKey { field: "_id".to_owned(), descending: false, missing: MissingValues::Last });
     }
     Ok(Sort { keys, items, requested_values })
 }
--- a/src/protocol/opensearch/sort_value.rs
+++ b/src/protocol/opensearch/sort_value.rs
@@ -22,19 +22,20 @@
 
 impl Number {
     /// Reads a JSON number.
-    fn parse(text: &str) -> Option<Number> {
+    pub(super) fn parse(text: &str) -> Option<Number> {
         let integer = text.parse().map(Number::Integer).ok();
         integer.or_else(|| text.parse().map(Number::Float).ok())
     }
 
-    /// Compares by value. A float that is not a number is greater than all others.
-    fn compare(self, other: Number) -> Ordering {
+    /// Compares by value. A float that is not a number is greater than all others, and zero greater than negative zero.
+    pub(super) fn compare(self, other: Number) -> Ordering {
         match (self, other) {
             (Number::Integer(a), Number::Integer(b)) => a.cmp(&b),
             (Number::Integer(a), Number::Float(b)) => compare_integer_to_float(a, b),
             (Number::Float(a), Number::Integer(b)) => compare_integer_to_float(b, a).reverse(),
             (Number::Float(a), Number::Float(b)) => {
-                a.partial_cmp(&b).unwrap_or_else(|| a.is_nan().cmp(&b.is_nan()))
+                let order = a.partial_cmp(&b).unwrap_or_else(|| a.is_nan().cmp(&b.is_nan()));
+                order.then_with(|| b.is_sign_negative().cmp(&a.is_sign_negative()))
             }
         }
     }
--- a/src/transport/index_servers.rs
+++ b/src/transport/index_servers.rs
@@ -3,6 +3,10 @@
 //! Owns the connections to each server, in use or idle, and reports the outcome of every attempt that is not cancelled,
 //! once. Does not choose servers or retry; the decision module does both.
 
+mod field_types;
+
+pub use field_types::{FieldTypeSource, FieldTypesFuture};
+
 use super::connector::{Connector, Stream, connect_with_timeout};
 use super::descriptor_pool::{BufferReservation, DescriptorPermit, DescriptorPool};
 use super::errors;
@@ -16,6 +20,8 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::sync::Semaphore;
 use tokio::task::{AbortHandle, spawn_local};
@@ -39,6 +45,8 @@
     servers: RefCell<HashMap<WorkerId, Rc<Server>>>,
     /// The attempts in flight.
     searches: RefCell<HashMap<AttemptId, Search>>,
+    /// The server that answered the latest search of each index.
+    last_responders: RefCell<HashMap<Arc<str>, WorkerId>>,
 }
 
 /// An attempt in flight.
@@ -78,13 +86,23 @@
         descriptor_pool: Rc<DescriptorPool>,
     ) -> IndexServers {
         let limits = broker.with_core(|core| core.contracts().limits.clone());
-        let (servers, searches) = (RefCell::default(), RefCell::default());
-        IndexServers(Rc::new(Shared { broker, connector, limits, descriptor_pool, servers, searches }))
+        IndexServers(Rc::new(Shared {
+            broker,
+            connector,
+            limits,
+            descriptor_pool,
+            servers: RefCell::default(),
+            searches: RefCell::default(),
+            last_responders: RefCell::default(),
+        }))
     }
 
     /// Executes one attempt and reports its outcome.
     async fn run_search(self, worker: WorkerId, server: Rc<Server>, part: Dispatch) {
         let completion = self.exchange(worker, &server, &part).await;
+        if completion.outcome == AttemptOutcome::Succeeded {
+            self.0.last_responders.borrow_mut().insert(part.label.clone(), worker);
+        }
         self.0.searches.borrow_mut().remove(&part.attempt_id);
         self.0.broker.on_attempt_finished(part.attempt_id, completion);
     }
@@ -133,7 +151,8 @@
         if !server.accepts_searches.get() {
             return AttemptCompletion::without_value(AttemptOutcome::NotSent);
         }
-        let mut connection = match self.take_or_connect(worker, server, part).await {
+        let time_left = part.time_left(self.0.broker.now());
+        let mut connection = match self.take_or_connect(worker, server, part.at_most_once, time_left).await {
             Ok(connection) => connection,
             Err(outcome) => return AttemptCompletion::without_value(outcome),
         };
@@ -190,16 +209,14 @@
         &self,
         worker: WorkerId,
         server: &Server,
-        part: &Dispatch,
+        at_most_once: bool,
+        time_left: Duration,
     ) -> Result<Connection, AttemptOutcome> {
         // A non-idempotent search gets a new connection: the server could close an idle one while the search is being
         // written, and it would be unknown whether the search ran.
-        if !part.at_most_once
-            && let Some(idle) = self.take_idle(server).await
-        {
+        if !at_most_once && let Some(idle) = self.take_idle(server).await {
             return Ok(idle);
         }
-        let time_left = part.time_left(self.0.broker.now());
         let permit = self.0.descriptor_pool.acquire_connect_permit(worker, time_left).await;
         let permit = permit.map_err(|_| AttemptOutcome::NotSent)?;
         let limit = self.0.limits.connect_timeout;
--- a/tests/scenario/fronts.rs
+++ b/tests/scenario/fronts.rs
@@ -121,6 +121,7 @@
         broker.clone(),
         environment.clock,
         environment.connection_manager.clone(),
+        Rc::new(transport.clone()),
         file.mapping,
         "start-1".to_owned(),
         SEED,
