Answer a retry without capacity with 409 where its search may have run; shorter functions

What callers saw: a client that lost its connection and repeated its key while the process had no descriptor for the request got 429, which says that nothing has run, although the search of the key ran or had run.

Cause: the rejection for lack of capacity is made before the request is looked at, without its key.

Change: a retry whose key is not merely issued gets 409, with Retry-After and the advice to ask again with the same key. A scroll waits at most half of its time for capacity that others have reserved. IndexServers::exchange and serve_opensearch are split.

--- a/src/fronts/opensearch.rs
+++ b/src/fronts/opensearch.rs
@@ -151,8 +151,10 @@
         SearchError::new(error.status(), "parsing_exception", error.to_string()).response()
     }
 
-    fn rejection(&self, _: Option<&Request>) -> Response {
-        self.capacity_rejection()
+    fn rejection(&self, request: Option<&Request>) -> Response {
+        request
+            .and_then(|request| self.claimed_key_response(request))
+            .unwrap_or_else(|| self.capacity_rejection())
     }
 
     fn failure(&self) -> Response {
--- a/src/fronts/opensearch/at_most_once.rs
+++ b/src/fronts/opensearch/at_most_once.rs
@@ -3,7 +3,8 @@
 //! because its search may have run.
 
 use super::search::{AdmittedSearch, ValidSearch};
-use super::{KEY_RETENTION, OpenSearchFront};
+use super::{KEY_RETENTION, OpenSearchFront, idempotency_of};
+use crate::policy::Idempotency;
 use crate::protocol::http::{Request, Response};
 use crate::protocol::opensearch::SearchError;
 use crate::routing::idempotency::{Execution, KeyClaim};
@@ -14,8 +15,8 @@
 
 /// Path at which idempotency keys are issued.
 const IDEMPOTENCY_KEYS_PATH: &str = "/_clayshore/idempotency_keys";
-/// `Retry-After` of the response where the limit of issued keys is reached.
-const KEYS_FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// `Retry-After` of the responses to requests for a key, and to retries with a key, for which there is no capacity.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 impl OpenSearchFront {
     /// Runs a search at most once for its key, however often clients retry it.
@@ -86,6 +87,25 @@
         SearchError::new(409, "unknown_outcome_exception", reason)
     }
 
+    /// Returns the response to a retry that is rejected for lack of capacity, where the search of its key runs, has run or
+    /// may have run: a rejection would say that nothing has run.
+    pub(super) fn claimed_key_response(&self, request: &Request) -> Option<Response> {
+        let index = request.path.trim_start_matches('/').strip_suffix("/_search")?;
+        let class = self.mapping.indexes.get(index)?;
+        if idempotency_of(&self.broker, *class) == Some(Idempotency::Idempotent) {
+            return None;
+        }
+        let key = request.headers.get("Idempotency-Key")?;
+        let (owner, _) = self.identify_caller(request).ok()?;
+        if self.idempotency.borrow_mut().is_unclaimed(self.clock.now(), key, &owner) {
+            return None;
+        }
+        let reason =
+            "a search with this key may have run: ask again with the same key, and not with another one";
+        let error = SearchError::new(409, "unknown_outcome_exception", reason);
+        Some(error.response().with_header("Retry-After", RETRY_AFTER.as_secs().to_string()))
+    }
+
     /// Issues an idempotency key for one search.
     pub(super) fn issue_key(&self, request: &Request) -> Result<Response, SearchError> {
         let (owner, _) = self.identify_caller(request)?;
@@ -96,7 +116,7 @@
             }
             Err(full) => {
                 let error = SearchError::new(429, "rejected_execution_exception", full.to_string());
-                Ok(error.response().with_header("Retry-After", KEYS_FULL_RETRY_AFTER.as_secs().to_string()))
+                Ok(error.response().with_header("Retry-After", RETRY_AFTER.as_secs().to_string()))
             }
         }
     }
--- a/src/fronts/opensearch/search.rs
+++ b/src/fronts/opensearch/search.rs
@@ -61,8 +61,8 @@
         })
     }
 
-    /// Reserves what the response of a search needs, or returns the response with which it is rejected. May wait for
-    /// capacity that other searches have reserved and may not need.
+    /// Reserves what the response of a search needs, or returns the response with which it is rejected. Waits up to half
+    /// of the search's time for capacity that other searches have reserved and may not need.
     pub(super) async fn admit(&self, mut valid: ValidSearch) -> Result<AdmittedSearch, Response> {
         if let Some(rejection) = self.rejects_new(&valid.search_request) {
             return Err(rejection);
@@ -73,7 +73,7 @@
         let (shards, time_left) = (valid.search_request.parts.len(), valid.search_request.time_left);
         let (idempotency, window) = (valid.class.idempotency, self.mapping.window);
         let started_at = self.clock.now();
-        let scroll = self.scrolls.reserve(idempotency, shards, window, time_left).await;
+        let scroll = self.scrolls.reserve(idempotency, shards, window, time_left / 2).await;
         valid.search_request.time_left = time_left.saturating_sub(self.clock.now().since(started_at));
         match scroll {
             Some(reservation) => Ok(AdmittedSearch { valid, scroll: Some(reservation) }),
--- a/src/program/run/opensearch.rs
+++ b/src/program/run/opensearch.rs
@@ -37,13 +37,7 @@
         if operator.membership.is_some() {
             log::warn!("membership stays off: the OpenSearch-style front does not support it");
         }
-        let limits = ConfiguredLimits {
-            descriptors: file.sockets,
-            memory_mb: file.memory_mb,
-            reserved_descriptors: 0,
-            has_operator_api: false,
-        };
-        let descriptor_pool = new_descriptor_pool(&ProcessLimits::read(limits))?;
+        let descriptor_pool = new_descriptor_pool(&ProcessLimits::read(configured_limits(&file)))?;
         let clock = Clock::system();
         let configuration_text = configuration_text(&file.contracts);
         let broker = Broker::new(Core::new(file.contracts), clock);
@@ -78,6 +72,15 @@
     })
 }
 
+fn configured_limits(file: &FrontFile) -> ConfiguredLimits {
+    ConfiguredLimits {
+        descriptors: file.sockets,
+        memory_mb: file.memory_mb,
+        reserved_descriptors: 0,
+        has_operator_api: false,
+    }
+}
+
 /// Returns the function for reloads: it reads the file again, applies its list of index servers, and describes the
 /// change.
 fn reload_servers(
--- a/src/transport/index_servers.rs
+++ b/src/transport/index_servers.rs
@@ -152,7 +152,7 @@
             return AttemptCompletion::without_value(AttemptOutcome::NotSent);
         }
         let time_left = part.time_left(self.0.broker.now());
-        let mut connection = match self.take_or_connect(worker, server, part.at_most_once, time_left).await {
+        let connection = match self.take_or_connect(worker, server, part.at_most_once, time_left).await {
             Ok(connection) => connection,
             Err(outcome) => return AttemptCompletion::without_value(outcome),
         };
@@ -165,6 +165,21 @@
             return AttemptCompletion::without_value(AttemptOutcome::NotSent);
         };
         self.mark_write_began(part.attempt_id);
+        match self.send_and_receive(server, connection, part, write_deadline).await {
+            Ok(response) => completion_of(server, response),
+            Err(outcome) => AttemptCompletion::without_value(outcome),
+        }
+    }
+
+    /// Sends the search, which fails if its last byte is not written before the deadline, and reads its response. The
+    /// error is the outcome of the attempt.
+    async fn send_and_receive(
+        &self,
+        server: &Rc<Server>,
+        mut connection: Connection,
+        part: &Dispatch,
+        write_deadline: Option<Instant>,
+    ) -> Result<ReceivedResponse, AttemptOutcome> {
         let timeout_ms = part.time_left(self.0.broker.now()).as_millis().max(1);
         let target =
             format!("/{}/_search?preference=_shards:{}&timeout={timeout_ms}ms", part.label, part.shard.0);
@@ -174,27 +189,23 @@
         reservation.set(request.len());
         let stream = &mut *connection.stream;
         let written_at = self.0.broker.now();
-        if let Err(outcome) = send_before(write_deadline, stream, &request).await {
+        send_before(write_deadline, stream, &request).await.inspect_err(|outcome| {
             log::warn!("index server at {}: the search was not written: {outcome:?}", server.address);
-            return AttemptCompletion::without_value(outcome);
-        }
+        })?;
         self.0.broker.on_attempts_written(written_at, &[part.attempt_id]);
-        match receive_result(&self.0.descriptor_pool, stream, &mut buffer, part.attempt_id).await {
-            Ok(response) => {
-                if response.keep_alive && buffer.is_empty() {
-                    self.keep_idle(server, connection);
-                }
-                completion_of(server, response)
-            }
-            Err(error) => {
-                log::warn!("index server at {}: search failed: {error}", server.address);
-                AttemptCompletion::without_value(match error {
-                    ExchangeError::NotSent(_) => AttemptOutcome::ConnectFailed,
-                    ExchangeError::NoResponse(_) => AttemptOutcome::ConnectionReset,
-                    ExchangeError::Malformed(_) => AttemptOutcome::Failed,
-                })
+        let received = receive_result(&self.0.descriptor_pool, stream, &mut buffer, part.attempt_id).await;
+        let response = received.map_err(|error| {
+            log::warn!("index server at {}: search failed: {error}", server.address);
+            match error {
+                ExchangeError::NotSent(_) => AttemptOutcome::ConnectFailed,
+                ExchangeError::NoResponse(_) => AttemptOutcome::ConnectionReset,
+                ExchangeError::Malformed(_) => AttemptOutcome::Failed,
             }
+        })?;
+        if response.keep_alive && buffer.is_empty() {
+            self.keep_idle(server, connection);
         }
+        Ok(response)
     }
 
     fn mark_write_began(&self, attempt_id: AttemptId) {
