--- a/src/bin/soak-test/flood/measurement.rs
+++ b/src/bin/soak-test/flood/measurement.rs
@@ -60,6 +60,8 @@
     pub peak_memory: u64,
     /// Longest delay with which this process was scheduled.
     pub observer_lag: Duration,
+    /// Longest delay with which the thread of the workers and index servers was scheduled. No limit allows for it.
+    pub peer_lag: Duration,
     /// The gatherer's counters at the end.
     pub counters: String,
 }
@@ -136,11 +138,12 @@
         let late = self.requests.iter().filter(|request| self.is_late(request)).count();
         write!(
             out,
-            "late {late}; {} responses to the flood, {} ms of processor time, peak {} MiB, lag {} ms",
+            "late {late}; {} responses to the flood, {} ms of processor time, peak {} MiB, lag {} ms, of the peers {} ms",
             self.flood_responses,
             self.processor_time.as_millis(),
             self.peak_memory >> 10,
-            self.observer_lag.as_millis()
+            self.observer_lag.as_millis(),
+            self.peer_lag.as_millis()
         )?;
         let is_printed =
             |line: &&str| PRINTED_COUNTERS.iter().any(|start| line.trim_start().starts_with(start));
--- a/src/bin/soak-test/flood/mod.rs
+++ b/src/bin/soak-test/flood/mod.rs
@@ -126,6 +126,7 @@
         let clients = sound_clients::start(&gatherer, options.sound);
         tokio::time::sleep(WARM_UP).await;
         clients.begin_recording();
+        peers.take_lag();
         let cpu_before = gatherer.processor_time();
         let flood = Flood::start(options, kind, &gatherer);
         tokio::time::sleep(Duration::from_millis(options.milliseconds)).await;
@@ -134,6 +135,7 @@
         tokio::time::sleep(COOL_DOWN).await;
         measurement.requests = clients.finish().await;
         measurement.observer_lag = clients.lag();
+        measurement.peer_lag = peers.take_lag();
         measurement.counters = gatherer.counters().await;
     });
     measurement.peak_memory = gatherer.peak_memory();
--- a/src/bin/soak-test/flood/peers.rs
+++ b/src/bin/soak-test/flood/peers.rs
@@ -5,18 +5,22 @@
 use bytes::BytesMut;
 use gatherer::protocol::http::{self, Response};
 use std::net::SocketAddr;
-use std::sync::mpsc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, mpsc};
 use std::thread;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 /// Number of workers, and of index servers.
 pub const SERVERS: usize = 6;
 /// Time that a worker or an index server takes for a part.
 const SERVICE_TIME: Duration = Duration::from_millis(15);
+/// Interval at which the delay of the peers' thread is measured.
+const LAG_INTERVAL: Duration = Duration::from_millis(5);
 /// First byte of a frame that holds a call.
 const CALL_FRAME: u8 = b'm';
 /// The result of a shard without hits.
@@ -28,6 +32,8 @@
     pub workers: Vec<SocketAddr>,
     /// Addresses of index servers.
     pub index_servers: Vec<SocketAddr>,
+    /// Longest delay with which the peers' thread was scheduled, in microseconds.
+    lag_us: Arc<AtomicU64>,
 }
 
 impl Peers {
@@ -36,7 +42,9 @@
         let (sender, peers) = mpsc::channel();
         thread::spawn(move || {
             runtime::block_on(async {
-                let mut started = Peers { workers: Vec::new(), index_servers: Vec::new() };
+                let lag_us = Arc::new(AtomicU64::new(0));
+                let mut started =
+                    Peers { workers: Vec::new(), index_servers: Vec::new(), lag_us: lag_us.clone() };
                 for _ in 0..SERVERS {
                     let listener = listen().await;
                     started.workers.push(listener.local_addr().expect("a bound listener has an address"));
@@ -48,11 +56,25 @@
                     spawn_local(accept(listener, serve_searches));
                 }
                 sender.send(started).expect("the measurement waits for its peers");
-                std::future::pending::<()>().await;
+                measure_lag(&lag_us).await;
             });
         });
         peers.recv().expect("the peers start")
     }
+
+    /// The longest delay with which the peers' thread was scheduled since the last call.
+    pub fn take_lag(&self) -> Duration {
+        Duration::from_micros(self.lag_us.swap(0, Ordering::Relaxed))
+    }
+}
+
+async fn measure_lag(lag_us: &AtomicU64) {
+    loop {
+        let due = Instant::now() + LAG_INTERVAL;
+        tokio::time::sleep_until(due).await;
+        let late_us = u64::try_from(due.elapsed().as_micros()).unwrap_or(u64::MAX);
+        lag_us.fetch_max(late_us, Ordering::Relaxed);
+    }
 }
 
 async fn listen() -> TcpListener {
--- a/src/transport/descriptor_pool/result_memory.rs
+++ b/src/transport/descriptor_pool/result_memory.rs
@@ -10,6 +10,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 
+/// Largest body of a response that is not counted, in bytes.
+const MAX_UNCOUNTED_RESPONSE_BYTES: usize = 4 << 10;
+
 /// Handle to the memory of results, of which a process has one.
 #[derive(Clone)]
 pub struct ResultMemory(Arc<Shared>);
@@ -57,14 +60,27 @@
         state.used() >= state.total
     }
 
-    /// Counts the bytes of a response until they are dropped: once as they are, and once as they are encoded.
+    /// Counts the bytes of a response until they are dropped: once as they are, and once as they are encoded. A small one
+    /// is not counted: connections, of which there are few enough, bound their number.
     #[must_use]
     pub fn count_response(&self, body: Bytes) -> Bytes {
-        if body.is_empty() {
+        if body.len() <= MAX_UNCOUNTED_RESPONSE_BYTES {
             return body;
         }
-        let mut allocation = Allocation { memory: self.0.clone(), content: Content::Response, bytes: 0 };
-        allocation.set(2 * body.len());
+        let bytes = 2 * body.len();
+        self.count(Content::Response, body, bytes)
+    }
+
+    /// Counts the bytes of a result that was read at once until they are dropped.
+    #[must_use]
+    pub fn count_result(&self, body: Bytes) -> Bytes {
+        let bytes = body.len();
+        self.count(Content::Result, body, bytes)
+    }
+
+    fn count(&self, content: Content, body: Bytes, bytes: usize) -> Bytes {
+        let mut allocation = Allocation { memory: self.0.clone(), content, bytes: 0 };
+        allocation.set(bytes);
         Bytes::from_owner(CountedBytes { bytes: body, _allocation: allocation })
     }
 
--- a/src/transport/index_servers.rs
+++ b/src/transport/index_servers.rs
@@ -297,8 +297,11 @@
         }
     };
     let response = http_client::receive_as_memory_allows(stream, buffer, MAX_RESULT_BYTES, reserve).await?;
-    let read = read.unwrap_or_else(|| descriptor_pool.result_memory().begin_read(attempt));
-    Ok(ReceivedResponse { body: read.finish(response.body), ..response })
+    let body = match read {
+        Some(read) => read.finish(response.body),
+        None => descriptor_pool.result_memory().count_result(response.body),
+    };
+    Ok(ReceivedResponse { body, ..response })
 }
 
 /// The completion of the attempt that got this response.
