--- a/tests/repeat_window.rs
+++ b/tests/repeat_window.rs
@@ -139,8 +139,7 @@
 
 /// Serves the searches of a connection to an index server.
 async fn serve_searches(mut stream: DuplexStream, servers: Rc<SlowConnects>) {
-    let result =
-        r#"{"timed_out":false,"hits":{"total":{"value":0,"relation":"eq"},"max_score":null,"hits":[]}}"#;
+    let result = r#"{"timed_out":false,"_shards":{"total":1,"successful":1,"failed":0},"hits":{"total":{"value":0,"relation":"eq"},"hits":[]}}"#;
     let mut buffer = BytesMut::new();
     while matches!(stream.read_buf(&mut buffer).await, Ok(1..)) {
         while let Some(request) = http::take_request(&mut buffer).expect("a valid request") {
